--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupport-agent program."""
--- /dev/null
+++ b/packages/balancer/src/kingcupport/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupport-balancer program."""
--- /dev/null
+++ b/packages/cli/src/kingcupport/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupport command line for operators."""
--- /dev/null
+++ b/packages/common/src/kingcupport/common/__init__.py
@@ -0,0 +1,1 @@
+"""Errors, clock, addresses and checked settings."""
--- /dev/null
+++ b/packages/connections/src/kingcupport/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Reliable byte streams over packets, HTTP parsing and handoff."""
--- /dev/null
+++ b/packages/control/src/kingcupport/control/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet revisions, configuration reader, instance list and peers."""
--- /dev/null
+++ b/packages/fleet/src/kingcupport/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Services, balancers, backend servers, the fleet and release notes."""
--- /dev/null
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -0,0 +1,367 @@
+"""Release notes: what is added, changed and withdrawn in a fleet."""
+
+import hashlib
+import json
+import tomllib
+
+import attrs
+
+from kingcupport.common import errors
+from kingcupport.fleet import documents
+from kingcupport.fleet import fleet as fleet_module
+
+DIGEST_LENGTH = 32
+_KINDS = tuple(documents.ENTRY_CLASSES)
+_SECTIONS = ('added', 'changed', 'withdrawn')
+
+
+class ReleaseNoteError(errors.KingcupportError):
+    """A release note that is malformed or does not fit the fleet."""
+
+    code = 'bad_release_note'
+
+
+@attrs.frozen
+class ReleaseNote:
+    """One change of the fleet.
+
+    Args:
+        revision: Greater than ``base``.
+        base: Revision of the fleet that it applies to.
+        base_digest: Digest of that fleet.
+        added: Entries by kind (``services``, ``balancers``,
+            ``backend_servers``), each a tuple.
+        changed: Entries by kind, as complete as added ones.
+        withdrawn: Names by kind, each a tuple.
+    """
+
+    revision: int
+    base: int
+    base_digest: str
+    added: dict
+    changed: dict
+    withdrawn: dict
+
+
+def note_to_plain(note):
+    """Return a ReleaseNote as dicts, lists and scalars."""
+    entries = {
+        section: {
+            kind: [
+                documents.entry_to_plain(e)
+                for e in getattr(note, section)[kind]
+            ]
+            for kind in _KINDS
+        }
+        for section in ('added', 'changed')
+    }
+    return {
+        'revision': note.revision,
+        'base': note.base,
+        'base_digest': note.base_digest,
+        **entries,
+        'withdrawn': {kind: list(note.withdrawn[kind]) for kind in _KINDS},
+    }
+
+
+def note_from_plain(plain):
+    """Build a ReleaseNote from dicts, lists and scalars.
+
+    Args:
+        plain: The form that ``note_to_plain`` returns; empty sections may be
+            absent.
+
+    Raises:
+        ReleaseNoteError: A key, type or value is not that of a note.
+    """
+    if not isinstance(plain, dict):
+        raise ReleaseNoteError('is not a table', step='read_note')
+    allowed = ('revision', 'base', 'base_digest', *_SECTIONS)
+    for key in plain:
+        if key not in allowed:
+            raise ReleaseNoteError(
+                f'unknown key {key!r}; allowed: {", ".join(allowed)}',
+                step='read_note',
+            )
+    revision = _read_scalar(plain, 'revision', int)
+    base = _read_scalar(plain, 'base', int)
+    base_digest = _read_scalar(plain, 'base_digest', str)
+    if base < 0 or revision <= base:
+        raise ReleaseNoteError(
+            f'revision {revision} is not greater than base {base}',
+            step='read_note',
+        )
+    return ReleaseNote(
+        revision,
+        base,
+        base_digest,
+        added=_read_entries(plain, 'added'),
+        changed=_read_entries(plain, 'changed'),
+        withdrawn=_read_withdrawn(plain),
+    )
+
+
+def _read_scalar(plain, key, expected):
+    value = plain.get(key)
+    if type(value) is not expected:
+        raise ReleaseNoteError(
+            f'{key} is {value!r}, not {expected.__name__}', step='read_note'
+        )
+    return value
+
+
+def _read_section(plain, section):
+    tables = plain.get(section, {})
+    if not isinstance(tables, dict):
+        raise ReleaseNoteError(f'{section} is not a table', step='read_note')
+    for kind, rows in tables.items():
+        if kind not in _KINDS:
+            raise ReleaseNoteError(
+                f'unknown key {section}.{kind}; allowed: {", ".join(_KINDS)}',
+                step='read_note',
+            )
+        if not isinstance(rows, list):
+            raise ReleaseNoteError(
+                f'{section}.{kind} is not a list', step='read_note'
+            )
+    return tables
+
+
+def _read_entries(plain, section):
+    tables = _read_section(plain, section)
+    try:
+        return {
+            kind: tuple(
+                documents.entry_from_plain(kind, row)
+                for row in tables.get(kind, ())
+            )
+            for kind in _KINDS
+        }
+    except documents.DocumentError as error:
+        raise ReleaseNoteError(
+            f'{section}.{error.reason}', step='read_note'
+        ) from None
+
+
+def _read_withdrawn(plain):
+    tables = _read_section(plain, 'withdrawn')
+    for kind, names in tables.items():
+        if any(type(name) is not str for name in names):
+            raise ReleaseNoteError(
+                f'withdrawn.{kind} is not a list of names', step='read_note'
+            )
+    return {kind: tuple(tables.get(kind, ())) for kind in _KINDS}
+
+
+def parse_release_note(text, source):
+    """Parse the TOML text of a release note.
+
+    Args:
+        text: The TOML document.
+        source: File name for error messages.
+
+    Returns:
+        The ReleaseNote; whether it fits a fleet is checked when applied.
+
+    Raises:
+        ReleaseNoteError: With the source and, where known, the line.
+    """
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ReleaseNoteError(
+            f'{source}: is not TOML: {error}', step='parse_note'
+        ) from None
+    try:
+        return note_from_plain(plain)
+    except ReleaseNoteError as error:
+        line = _find_line(text, error.reason)
+        raise ReleaseNoteError(
+            f'{source}{line}: {error.reason}', step='parse_note'
+        ) from None
+
+
+def _find_line(text, reason):
+    # tomllib keeps no positions; the quoted word of the reason is looked up.
+    quoted = reason.split("'")[1:2]
+    if not quoted:
+        return ''
+    numbers = (
+        number
+        for number, line in enumerate(text.splitlines(), start=1)
+        if quoted[0] in line
+    )
+    number = next(numbers, None)
+    return f' line {number}' if number else ''
+
+
+def note_digest(note):
+    """Return the digest of the fleet that a note leads to.
+
+    It is the chain hash: sha256 of the base digest and the note's canonical
+    JSON, the first 32 hex digits.
+    """
+    canonical = json.dumps(
+        note_to_plain(note), sort_keys=True, separators=(',', ':')
+    )
+    data = note.base_digest + canonical
+    return hashlib.sha256(data.encode()).hexdigest()[:DIGEST_LENGTH]
+
+
+def apply_release_note(fleet, note):
+    """Return the fleet after a note; the given fleet is not changed.
+
+    Args:
+        fleet: The Fleet at the note's base revision.
+        note: The ReleaseNote.
+
+    Raises:
+        ReleaseNoteError: The base does not fit, an entry is added twice,
+            changed or withdrawn without being there, an address is used
+            twice, or a backend server names an unknown service.
+    """
+    if note.base != fleet.revision or note.base_digest != fleet.digest:
+        raise ReleaseNoteError(
+            f'base {note.base} {note.base_digest[:8]} is not the fleet in '
+            f'force, {fleet.revision} {fleet.digest[:8]}',
+            step='apply_note',
+        )
+    entries = {
+        kind: _apply_kind(getattr(fleet, kind), note, kind) for kind in _KINDS
+    }
+    _check_entries(entries)
+    return fleet_module.Fleet(note.revision, note_digest(note), **entries)
+
+
+def _apply_kind(current, note, kind):
+    result = dict(current)
+    for name in note.withdrawn[kind]:
+        if name not in result:
+            raise ReleaseNoteError(
+                f'withdrawn.{kind} {name!r} is not in the fleet',
+                step='apply_note',
+            )
+        del result[name]
+    for entry in note.changed[kind]:
+        if entry.name not in result:
+            raise ReleaseNoteError(
+                f'changed.{kind} {entry.name!r} is not in the fleet',
+                step='apply_note',
+            )
+        result[entry.name] = _keep_added_revision(entry, result[entry.name])
+    for entry in note.added[kind]:
+        if entry.name in result:
+            raise ReleaseNoteError(
+                f'added.{kind} {entry.name!r} is already in the fleet',
+                step='apply_note',
+            )
+        result[entry.name] = _set_added_revision(entry, note.revision)
+    return result
+
+
+def _keep_added_revision(entry, previous):
+    if not hasattr(entry, 'added_revision'):
+        return entry
+    return attrs.evolve(entry, added_revision=previous.added_revision)
+
+
+def _set_added_revision(entry, revision):
+    if not hasattr(entry, 'added_revision'):
+        return entry
+    return attrs.evolve(entry, added_revision=revision)
+
+
+def _check_entries(entries):
+    for backend_server in entries['backend_servers'].values():
+        if backend_server.service not in entries['services']:
+            raise ReleaseNoteError(
+                f'backend server {backend_server.name!r} names the unknown '
+                f'service {backend_server.service!r}',
+                step='apply_note',
+            )
+        if backend_server.slots < 1 or backend_server.weight < 1:
+            raise ReleaseNoteError(
+                f'backend server {backend_server.name!r} needs at least one '
+                f'slot and a weight of at least 1',
+                step='apply_note',
+            )
+    shared = entries['balancers'].keys() & entries['backend_servers'].keys()
+    if shared:
+        raise ReleaseNoteError(
+            f'{min(shared)!r} names a balancer and a backend server',
+            step='apply_note',
+        )
+    _check_addresses(entries)
+
+
+def _check_addresses(entries):
+    users = [(s.address, s.name) for s in entries['services'].values()]
+    users += [(b.address, b.name) for b in entries['balancers'].values()]
+    users += [
+        (a, b.name)
+        for b in entries['backend_servers'].values()
+        for a in (b.agent_address, b.server_address)
+    ]
+    seen = {}
+    for address, name in users:
+        if address in seen:
+            raise ReleaseNoteError(
+                f'{name!r} and {seen[address]!r} share the address {address}',
+                step='apply_note',
+            )
+        seen[address] = name
+
+
+def difference_lines(fleet, note):
+    """Describe a note in words, one line a change.
+
+    Args:
+        fleet: The Fleet that the note applies to.
+        note: The ReleaseNote.
+
+    Returns:
+        A list of lines; a changed entry names each field that changes.
+    """
+    withdrawn = [
+        f'withdraw {_singular(kind)} {name}'
+        for kind in _KINDS
+        for name in note.withdrawn[kind]
+    ]
+    changed = [
+        f'change {_singular(kind)} {entry.name}: '
+        + _describe_change(getattr(fleet, kind).get(entry.name), entry)
+        for kind in _KINDS
+        for entry in note.changed[kind]
+    ]
+    added = [
+        f'add {_singular(kind)} {entry.name}: {_describe_entry(entry)}'
+        for kind in _KINDS
+        for entry in note.added[kind]
+    ]
+    return withdrawn + changed + added
+
+
+def _singular(kind):
+    return kind.removesuffix('s').replace('_', ' ')
+
+
+def _describe_change(previous, entry):
+    if previous is None:
+        return 'not in the fleet'
+    old = documents.entry_to_plain(previous)
+    new = documents.entry_to_plain(entry)
+    parts = [
+        f'{key} {old[key]} -> {value}'
+        for key, value in new.items()
+        if value != old[key] and key != 'added_revision'
+    ]
+    return ', '.join(parts) or 'nothing differs'
+
+
+def _describe_entry(entry):
+    plain = documents.entry_to_plain(entry)
+    return ', '.join(
+        f'{key} {value}'
+        for key, value in plain.items()
+        if key not in ('name', 'added_revision')
+    )
--- /dev/null
+++ b/packages/observability/src/kingcupport/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, health endpoints and the audit trail."""
--- /dev/null
+++ b/packages/requests/src/kingcupport/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request queues, admission, claims and the backend port."""
--- /dev/null
+++ b/packages/routing/src/kingcupport/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Bucket tables, candidates and location hints."""
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the load tool and the demo."""
--- /dev/null
+++ b/packages/wire/src/kingcupport/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs for packets, datagrams and typed peer messages."""
