Treat an address as a scalar in the settings checker

Cause: Address is an attrs class, so the checker took it for a table and refused every settings file that has an address. Ruled out: a wrong annotation; attrs.resolve_types returned the class itself. Change: a table is an attrs class other than Address.

--- a/packages/common/src/kingcupport/common/settings.py
+++ b/packages/common/src/kingcupport/common/settings.py
@@ -120,7 +120,7 @@
 
 def _structure_value(path, key, value, field):
     expected = _without_none(field.type)
-    if attrs.has(expected):
+    if _is_table(expected):
         if not isinstance(value, dict):
             raise SettingsError(path, key, 'is not a table', 'a table')
         return _structure_table(path, f'{key}.', value, expected)
@@ -165,6 +165,10 @@
         )
 
 
+def _is_table(expected):
+    return attrs.has(expected) and expected is not address.Address
+
+
 def _without_none(annotation):
     if isinstance(annotation, types.UnionType):
         return next(
@@ -177,7 +181,7 @@
     expected = _without_none(field.type)
     if expected is address.Address:
         return 'ip:port, for example 10.0.0.7:9000'
-    if attrs.has(expected):
+    if _is_table(expected):
         return 'a table'
     if typing.get_origin(expected) is tuple:
         return 'a list'
