--- /dev/null
+++ b/packages/observability/src/kingcupport/observability/audit_trail.py
@@ -0,0 +1,43 @@
+"""Bounded record of the changes that a process made or refused."""
+
+import collections
+import logging
+
+LOG = logging.getLogger(__name__)
+
+DEFAULT_CAPACITY = 1024
+
+
+class AuditTrail:
+    """Keeps the latest audit events in memory and logs each one.
+
+    Args:
+        clock: Clock for the events' times.
+        capacity: Number of events kept; the oldest are dropped.
+    """
+
+    def __init__(self, clock, capacity=DEFAULT_CAPACITY):
+        self._clock = clock
+        self._events = collections.deque(maxlen=capacity)
+        self._next_sequence = 1
+
+    def record(self, kind, **fields):
+        """Append one event.
+
+        Args:
+            kind: Kind of the event, for example ``note_accepted``.
+            fields: Text and numbers that describe it.
+        """
+        event = {
+            'sequence': self._next_sequence,
+            'utc_ms': self._clock.utc_ms(),
+            'kind': kind,
+            **fields,
+        }
+        self._next_sequence += 1
+        self._events.append(event)
+        LOG.info('audit', extra={'audit_kind': kind, **fields})
+
+    def events(self, after_sequence=0):
+        """Return the events after a sequence number, oldest first."""
+        return [e for e in self._events if e['sequence'] > after_sequence]
