Offer a free slot anew each time one becomes free

Cause: the pause between offers kept growing while an agent went from idle to busy and back, so its used offers were not replaced for up to 250 ms. Ruled out: an offer whenever work is dispatched; two idle agents would then answer each offer with another one. Change: the release of a slot restarts the offers.

--- a/packages/requests/src/kingcupport/requests/idle_peers.py
+++ b/packages/requests/src/kingcupport/requests/idle_peers.py
@@ -1,5 +1,6 @@
 """Peers that offered a free slot, and the offers to peers."""
 
+from kingcupport.requests import _waiting
 from kingcupport.wire import work_messages
 
 SAMPLED_PEERS = 2
@@ -58,7 +59,7 @@
         incarnation, _ = self._offers.pop(name)
         return name, incarnation
 
-    def offer_while(self, has_room, on_report):
+    def offer(self, has_room, newly_free, on_report):
         """Offer a free slot to two peers at a time while there is one.
 
         Blocks the calling task. The pauses double, so that an agent that
@@ -66,17 +67,20 @@
 
         Args:
             has_room: Callable that tells whether there is a free slot.
+            newly_free: Event that is set when a slot becomes free; the
+                offers before were used or refused, so they start anew.
             on_report: Called with each LoadReport that comes back.
         """
         pause_ms = FIRST_PAUSE_MS
         waiting = []
-        while has_room():
+        while has_room() and not newly_free.is_set():
             if not waiting:
                 waiting = self._link.peers()
                 self._rng.shuffle(waiting)
             for _ in range(min(SAMPLED_PEERS, len(waiting))):
                 self._offer_to(waiting.pop(), on_report)
-            self._clock.sleep_until(self._clock.monotonic_ms() + pause_ms)
+            pause_end_ms = self._clock.monotonic_ms() + pause_ms
+            _waiting.wait_until(self._clock, newly_free, pause_end_ms)
             pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
 
     def _offer_to(self, peer, on_report):
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -206,8 +206,6 @@
             if job is not None:
                 self._start_at_peer(job, offer)
         self._drain_rate.note_queue(bool(self._queue))
-        if self._sharing is not None and self.has_room:
-            self._sharing.note_room()
 
     def _take_offer(self):
         if self._sharing is None or not self._settings.share_work:
@@ -231,7 +229,12 @@
     def _release_slot(self, job, task):
         self._free_slots += 1
         self._check_failure(job, task)
+        self._dispatch_and_offer()
+
+    def _dispatch_and_offer(self):
         self.dispatch()
+        if self._sharing is not None and self.has_room:
+            self._sharing.note_room()
 
     def _check_failure(self, job, task):
         """Answer a job whose task ended by an error that nothing handles."""
@@ -323,7 +326,7 @@
 
     def _dispatch_at(self, due_ms):
         self._clock.sleep_until(due_ms)
-        self.dispatch()
+        self._dispatch_and_offer()
 
     def _expire_queued(self):
         while True:
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -89,8 +89,10 @@
         while True:
             self._room.wait()
             self._room.clear()
-            self.idle_peers.offer_while(
-                lambda: self._scheduler.has_room, self._loads.note
+            self.idle_peers.offer(
+                lambda: self._scheduler.has_room,
+                self._room,
+                self._loads.note,
             )
 
     def _exchange_loads(self):
