Take a request ahead of a slot that is soon free

Change: an offer tells when the slot is expected to be free, goes first to peers that were found loaded, and one request is taken ahead of it.

--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -18,6 +18,7 @@
         result: Receives the one Answer.
         task: Task that runs it, hands it over or waits for a permit.
         permit: Permit that it holds, or None.
+        turn: Event that starts a request taken ahead of its slot, or None.
         attempts: Number of runs that were begun.
     """
 
@@ -28,4 +29,5 @@
     result: event.AsyncResult = attrs.field(factory=event.AsyncResult)
     task: object = None
     permit: object = None
+    turn: event.Event | None = None
     attempts: int = 0
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -1,5 +1,8 @@
 """Queues an agent's requests and runs them here or at peers."""
 
+import collections
+import math
+
 import gevent
 from gevent import event
 
@@ -15,6 +18,10 @@
 from kingcupport.requests import scheduler_settings
 
 MAX_ATTEMPTS = 3
+
+# A request is taken ahead only behind a short run; behind a longer one it
+# could as well wait where it is.
+MAX_AHEAD_MS = 50
 EXPIRY_CHECK_MS = 50
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 2000
@@ -44,6 +51,8 @@
         self._sharing = sharing
         self._queue = queue_order.make_queue_order(settings.order)
         self._waiting_long = {}
+        self._started = {}
+        self._ahead = collections.deque()
         self._admission = admission.Admission(settings.wait_percent)
         self._durations = route_durations.RouteDurations()
         self._drain_rate = drain_rate.DrainRate(clock, slots)
@@ -71,14 +80,29 @@
         """Whether the agent's server takes requests."""
         return self._server_retry_ms <= self._clock.monotonic_ms()
 
-    @property
-    def has_room(self):
-        """Whether there is a free slot and nothing to run in it."""
-        return (
-            self._free_slots > 0
-            and not self._queue
-            and not self._draining
-            and self.server_ready
+    def room_in_ms(self):
+        """Return when a peer's request could start here.
+
+        Returns:
+            Milliseconds until a slot is expected to be free, or None when
+            no request is to be taken.
+        """
+        if self._queue or self._ahead or self._draining:
+            return None
+        if not self.server_ready:
+            return None
+        wait_ms = self._slot_wait_ms()
+        return wait_ms if wait_ms <= MAX_AHEAD_MS else None
+
+    def _slot_wait_ms(self):
+        if not self.server_ready:
+            return math.inf
+        if self._free_slots:
+            return 0
+        now_ms = self._clock.monotonic_ms()
+        return min(
+            max(1, job.expected_ms - (now_ms - started_ms))
+            for job, started_ms in self._started.items()
         )
 
     def submit(self, request):
@@ -106,11 +130,15 @@
         Returns:
             The task that runs it, or None when there is no room.
         """
-        if not self.has_room:
+        wait_ms = self.room_in_ms()
+        if wait_ms is None:
             return None
         job = self._make_job(request)
         job.attempts = MAX_ATTEMPTS
-        self._start_here(job)
+        if wait_ms:
+            self._start_ahead(job)
+        else:
+            self._start_here(job)
         job.task.rawlink(
             lambda _: finish(job.result.value if job.result.ready() else None)
         )
@@ -127,7 +155,7 @@
         """
         self._draining = True
         jobs = (*self._queue, *self._waiting_long)
-        for job in jobs:
+        for job in (*jobs, *self._ahead):
             self._finish(job, admission.make_not_run(_DRAINING))
             self._forget(job)
         return tuple(job.request for job in jobs)
@@ -193,6 +221,8 @@
 
     def dispatch(self):
         """Start queued requests while a slot or an idle peer is free."""
+        while self._free_slots and self._ahead and self.server_ready:
+            self._start_here(self._ahead.popleft())
         while self._queue and not self._draining:
             if self._free_slots and self.server_ready:
                 job = self._pop()
@@ -210,7 +240,7 @@
     def _take_offer(self):
         if self._sharing is None or not self._settings.share_work:
             return None
-        return self._sharing.idle_peers.take()
+        return self._sharing.idle_peers.take(self._slot_wait_ms())
 
     def _pop(self):
         job = self._queue.pop()
@@ -222,18 +252,45 @@
 
     def _start_here(self, job):
         self._free_slots -= 1
-        job.task = gevent.spawn(self._run_here, job)
+        self._started[job] = self._clock.monotonic_ms()
+        if job.turn is not None:
+            job.turn.set()
+        else:
+            job.task = gevent.spawn(self._run_here, job)
         # A link also runs when the task is killed before it starts.
         job.task.rawlink(lambda task: self._release_slot(job, task))
+        if self._sharing is not None:
+            self._sharing.note_room()
+
+    def _start_ahead(self, job):
+        """Take a request whose slot is soon free, so that it is not idle.
+
+        Without this a slot stands idle for a round trip after each run.
+        """
+        job.turn = event.Event()
+        job.task = gevent.spawn(self._run_at_turn, job)
+        self._ahead.append(job)
+
+    def _run_at_turn(self, job):
+        try:
+            job.turn.wait()
+        finally:
+            if job in self._ahead:
+                self._ahead.remove(job)
+        if job.request.deadline_ms <= self._clock.monotonic_ms():
+            self._finish(job, admission.make_not_run(_EXPIRED))
+            return
+        self._run_here(job)
 
     def _release_slot(self, job, task):
         self._free_slots += 1
+        del self._started[job]
         self._check_failure(job, task)
         self._dispatch_and_offer()
 
     def _dispatch_and_offer(self):
         self.dispatch()
-        if self._sharing is not None and self.has_room:
+        if self._sharing is not None:
             self._sharing.note_room()
 
     def _check_failure(self, job, task):
--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -54,12 +54,15 @@
         start: Callable that takes a Request and a callable for its Answer,
             starts to run it and returns the task, or None when there is no
             free slot.
+        on_refused: Called with the name of a peer whose request found no
+            free slot.
     """
 
-    def __init__(self, link, clock, start):
+    def __init__(self, link, clock, start, on_refused):
         self._link = link
         self._clock = clock
         self._start = start
+        self._on_refused = on_refused
         self._senders = collections.OrderedDict()
 
     def handle_transfer(self, message, peer):
@@ -129,6 +132,7 @@
         record.task = self._start(request, finish)
         if record.task is None:
             record.state = 'refused'
+            self._on_refused(message.sender)
         return record
 
     def _make_request(self, message, peer):
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -48,7 +48,10 @@
             self._make_report,
         )
         self.receiver = work_receiver.WorkReceiver(
-            self._link, self._clock, scheduler.start_transferred
+            self._link,
+            self._clock,
+            scheduler.start_transferred,
+            self.idle_peers.note_loaded,
         )
         self._room.set()
         self._tasks = [
@@ -69,7 +72,7 @@
 
     def handle_report(self, message, peer):
         """Keep a report and return the own one; handles LoadReport."""
-        self._loads.note(message)
+        self._note_report(message)
         return self._make_report()
 
     def permit_share(self):
@@ -78,7 +81,7 @@
         return view.permits / max(1, len(view.hosts))
 
     def note_room(self):
-        """Tell that the scheduler has a free slot and no queued request."""
+        """Tell that the scheduler's room for work has changed."""
         self._room.set()
 
     def stop(self):
@@ -90,11 +93,13 @@
             self._room.wait()
             self._room.clear()
             self.idle_peers.offer(
-                lambda: self._scheduler.has_room,
-                self._room,
-                self._loads.note,
+                self._scheduler.room_in_ms, self._room, self._note_report
             )
 
+    def _note_report(self, report):
+        self._loads.note(report)
+        self.idle_peers.note_report(report)
+
     def _exchange_loads(self):
         waiting = []
         while True:
@@ -106,7 +111,7 @@
                 self._rng.shuffle(waiting)
             for _ in range(min(REPORTED_PEERS, len(waiting))):
                 self._link.notify(
-                    waiting.pop(), self._make_report(), self._loads.note
+                    waiting.pop(), self._make_report(), self._note_report
                 )
             self._clock.sleep_until(
                 self._clock.monotonic_ms() + REPORT_INTERVAL_MS
--- a/packages/wire/src/kingcupport/wire/work_messages.py
+++ b/packages/wire/src/kingcupport/wire/work_messages.py
@@ -17,10 +17,11 @@
     """Tells a peer that the sender can run a request; answered by LoadReport.
 
     Args:
-        sender: Name of the agent with a free slot.
+        sender: Name of the agent with a slot.
         revision: Revision in force there.
         service: Name of its service.
         incarnation: Its incarnation, repeated in transfers to it.
+        free_in_ms: Expected time until the slot is free, 0 for now.
         valid_ms: How long the peer may rely on this.
     """
 
@@ -28,6 +29,7 @@
     revision: int
     service: str
     incarnation: int
+    free_in_ms: int
     valid_ms: int
 
 
