--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -19,6 +19,7 @@
         task: Task that runs it, hands it over or waits for a permit.
         permit: Permit that it holds, or None.
         turn: Event that starts a request taken ahead of its slot, or None.
+        started: Whether a run on this agent's server was begun.
         attempts: Number of runs that were begun.
     """
 
@@ -30,4 +31,5 @@
     task: object = None
     permit: object = None
     turn: event.Event | None = None
+    started: bool = False
     attempts: int = 0
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent import event
 
+from kingcupport.requests import _waiting
 from kingcupport.requests import admission
 from kingcupport.requests import answer
 from kingcupport.requests import backend_port
@@ -101,7 +102,7 @@
             return 0
         now_ms = self._clock.monotonic_ms()
         return min(
-            max(1, job.expected_ms - (now_ms - started_ms))
+            _remaining_ms(job.expected_ms, now_ms - started_ms)
             for job, started_ms in self._started.items()
         )
 
@@ -124,8 +125,8 @@
 
         Args:
             request: The Request.
-            finish: Called once with the Answer, or with None when the run
-                was cancelled.
+            finish: Called with the Job when the task ends. Without a result
+                the run was cancelled; without ``started`` it did not run.
 
         Returns:
             The task that runs it, or None when there is no room.
@@ -139,9 +140,7 @@
             self._start_ahead(job)
         else:
             self._start_here(job)
-        job.task.rawlink(
-            lambda _: finish(job.result.value if job.result.ready() else None)
-        )
+        job.task.rawlink(lambda _: finish(job))
         return job.task
 
     def drain(self):
@@ -155,9 +154,11 @@
         """
         self._draining = True
         jobs = (*self._queue, *self._waiting_long)
-        for job in (*jobs, *self._ahead):
+        for job in jobs:
             self._finish(job, admission.make_not_run(_DRAINING))
             self._forget(job)
+        for job in self._ahead:
+            job.task.kill(block=False)
         return tuple(job.request for job in jobs)
 
     def stop(self):
@@ -253,6 +254,7 @@
     def _start_here(self, job):
         self._free_slots -= 1
         self._started[job] = self._clock.monotonic_ms()
+        job.started = True
         if job.turn is not None:
             job.turn.set()
         else:
@@ -265,18 +267,22 @@
     def _start_ahead(self, job):
         """Take a request whose slot is soon free, so that it is not idle.
 
-        Without this a slot stands idle for a round trip after each run.
+        Without this a slot stands idle for a round trip after each run. If
+        the run takes longer than expected, the request is given back.
         """
         job.turn = event.Event()
         job.task = gevent.spawn(self._run_at_turn, job)
         self._ahead.append(job)
 
     def _run_at_turn(self, job):
+        give_back_ms = self._clock.monotonic_ms() + 2 * MAX_AHEAD_MS
         try:
-            job.turn.wait()
+            _waiting.wait_until(self._clock, job.turn, give_back_ms)
         finally:
-            if job in self._ahead:
+            if not job.started:
                 self._ahead.remove(job)
+        if not job.started:
+            return
         if job.request.deadline_ms <= self._clock.monotonic_ms():
             self._finish(job, admission.make_not_run(_EXPIRED))
             return
@@ -397,3 +403,8 @@
                 self._not_empty.clear()
                 continue
             self._clock.sleep_until(now_ms + EXPIRY_CHECK_MS)
+
+
+def _remaining_ms(expected_ms, elapsed_ms):
+    # A run that has lasted longer than expected is likely to last on.
+    return max(expected_ms - elapsed_ms, elapsed_ms / 4, 1)
--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -51,9 +51,7 @@
     Args:
         link: PeerLink.
         clock: Clock of the deadlines.
-        start: Callable that takes a Request and a callable for its Answer,
-            starts to run it and returns the task, or None when there is no
-            free slot.
+        start: ``RequestScheduler.start_transferred``.
         on_refused: Called with the name of a peer whose request found no
             free slot.
     """
@@ -123,9 +121,12 @@
         request = self._make_request(message, peer)
         record = self._remember(sender, message.sequence, 'running')
 
-        def finish(result):
-            record.result = result
-            record.state = 'done' if result is not None else 'lost'
+        def finish(job):
+            if job.result.ready():
+                record.result = job.result.value
+                record.state = 'done'
+            else:
+                record.state = 'lost' if job.started else 'refused'
             record.finished.set()
             self._drop_old(sender)
 
