Answer a cancel of a finished transfer with its answer

Cause: the reply to a cancel named the state done without an answer, and the handler raised AttributeError. Change: the recorded answer is returned.

--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -94,7 +94,7 @@
         if message.cancel and record.state == 'running':
             record.task.kill(block=False)
         if message.cancel:
-            return self._reply(record.state)
+            return self._reply(record.state, record.result)
         return self._wait(record)
 
     def running(self):
