--- a/packages/requests/src/kingcupport/requests/idle_peers.py
+++ b/packages/requests/src/kingcupport/requests/idle_peers.py
@@ -10,9 +10,6 @@
 
 # Time that a transfer takes at most between two data centres of a service.
 TRANSFER_MS = 5
-
-# Requests that are about equally late stay where they are.
-MIN_LAG_MS = 50
 FIRST_PAUSE_MS = 2
 MAX_PAUSE_MS = 250
 
@@ -21,7 +18,6 @@
 class _Offer:
     incarnation: int
     free_at_ms: float
-    lag_ms: int
     until_ms: float
 
 
@@ -62,13 +58,12 @@
             self._offers[message.sender] = _Offer(
                 message.incarnation,
                 now_ms + message.free_in_ms,
-                message.lag_ms,
                 now_ms + message.valid_ms,
             )
             self._on_offer()
         return self._report()
 
-    def take(self, own_wait_ms, own_lag_ms):
+    def take(self, own_wait_ms):
         """Remove and return a random idle peer, else the one free next.
 
         Always taking the first one would load the same peers again and
@@ -76,9 +71,6 @@
 
         Args:
             own_wait_ms: Expected time until an own slot is free.
-            own_lag_ms: How far the own next request is behind its turn. A
-                peer with a queue takes it only when it is later than the
-                peer's next one.
 
         Returns:
             Name and incarnation of the peer, or None when none is free
@@ -91,12 +83,7 @@
             for name, offer in self._offers.items()
             if offer.until_ms > now_ms and name in hosts
         }
-        usable = {
-            name: offer
-            for name, offer in self._offers.items()
-            if offer.lag_ms + MIN_LAG_MS <= own_lag_ms
-        }
-        idle = [n for n, o in usable.items() if o.free_at_ms <= now_ms]
+        idle = [n for n, o in self._offers.items() if o.free_at_ms <= now_ms]
         if idle:
             name = self._rng.choice(idle)
         else:
@@ -114,7 +101,7 @@
             return None
         return name, self._offers.pop(name).incarnation
 
-    def offer(self, scheduler, changed, on_report):
+    def offer(self, room_in_ms, changed, on_report):
         """Offer a slot while there is one that is free or soon will be.
 
         Blocks the calling task. The peer that was found loaded longest ago
@@ -122,7 +109,8 @@
         pauses double, so that an agent that stays idle sends few messages.
 
         Args:
-            scheduler: RequestScheduler with the slot.
+            room_in_ms: Callable that returns the time until a slot is free,
+                or None when no work can be taken.
             changed: Event that is set when a run starts or ends; the offers
                 before were used or refused, so they start anew.
             on_report: Called with each LoadReport that comes back.
@@ -130,15 +118,14 @@
         pause_ms = FIRST_PAUSE_MS
         waiting = []
         while not changed.is_set():
-            free_in_ms = scheduler.room_in_ms()
+            free_in_ms = room_in_ms()
             if free_in_ms is None:
                 return
-            lag_ms = scheduler.lag_ms()
             if not waiting:
                 waiting = self._link.peers()
                 self._rng.shuffle(waiting)
             for peer in self._next_peers(waiting, free_in_ms):
-                self._offer_to(peer, free_in_ms, lag_ms, on_report)
+                self._offer_to(peer, free_in_ms, on_report)
             pause_end_ms = self._clock.monotonic_ms() + pause_ms
             _waiting.wait_until(self._clock, changed, pause_end_ms)
             pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
@@ -154,13 +141,12 @@
             return []
         return [waiting.pop() for _ in range(min(SAMPLED_PEERS, len(waiting)))]
 
-    def _offer_to(self, peer, free_in_ms, lag_ms, on_report):
+    def _offer_to(self, peer, free_in_ms, on_report):
         message = self._link.make(
             work_messages.WorkRequest,
             service=self._link.read_view().service,
             incarnation=self._link.incarnation,
             free_in_ms=int(free_in_ms),
-            lag_ms=int(lag_ms),
             valid_ms=OFFER_VALID_MS,
         )
         self._link.notify(peer, message, on_report)
--- a/packages/requests/src/kingcupport/requests/queue_order.py
+++ b/packages/requests/src/kingcupport/requests/queue_order.py
@@ -27,10 +27,6 @@
     def key(self, job):
         """Return the number by which a Job is sorted, the least first."""
 
-    def head_key(self):
-        """Return the key of the next Job, or None when there is none."""
-        return self._entries[0][0] if self._entries else None
-
     def push(self, job):
         """Add a Job; equal keys keep their order of arrival."""
         self._pushed += 1
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -17,7 +17,6 @@
 from kingcupport.requests import retry_budget
 from kingcupport.requests import route_durations
 from kingcupport.requests import scheduler_settings
-from kingcupport.wire import work_messages
 
 MAX_ATTEMPTS = 3
 
@@ -89,20 +88,13 @@
             Milliseconds until a slot is expected to be free, or None when
             no request is to be taken.
         """
-        if self._ahead or self._draining:
+        if self._queue or self._ahead or self._draining:
             return None
         if not self.server_ready:
             return None
         wait_ms = self._slot_wait_ms()
         return wait_ms if wait_ms <= MAX_AHEAD_MS else None
 
-    def lag_ms(self):
-        """Return how far the next queued request is behind its turn."""
-        key = self._queue.head_key()
-        if key is None:
-            return work_messages.NO_QUEUE_LAG_MS
-        return self._clock.monotonic_ms() - key
-
     def _slot_wait_ms(self):
         if not self.server_ready:
             return math.inf
@@ -249,9 +241,7 @@
     def _take_offer(self):
         if self._sharing is None or not self._settings.share_work:
             return None
-        return self._sharing.idle_peers.take(
-            self._slot_wait_ms(), self.lag_ms()
-        )
+        return self._sharing.idle_peers.take(self._slot_wait_ms())
 
     def _pop(self):
         job = self._queue.pop()
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -93,7 +93,7 @@
             self._room.wait()
             self._room.clear()
             self.idle_peers.offer(
-                self._scheduler, self._room, self._note_report
+                self._scheduler.room_in_ms, self._room, self._note_report
             )
 
     def _note_report(self, report):
--- a/packages/wire/src/kingcupport/wire/work_messages.py
+++ b/packages/wire/src/kingcupport/wire/work_messages.py
@@ -10,8 +10,6 @@
 
 from kingcupport.wire import message_codec
 
-NO_QUEUE_LAG_MS = -(2**31)
-
 
 @message_codec.peer_message(60)
 @attrs.frozen
@@ -24,8 +22,6 @@
         service: Name of its service.
         incarnation: Its incarnation, repeated in transfers to it.
         free_in_ms: Expected time until the slot is free, 0 for now.
-        lag_ms: How far the sender's own next request is behind its turn;
-            ``NO_QUEUE_LAG_MS`` when none waits.
         valid_ms: How long the peer may rely on this.
     """
 
@@ -34,7 +30,6 @@
     service: str
     incarnation: int
     free_in_ms: int
-    lag_ms: int
     valid_ms: int
 
 
