--- a/bench/peak_load.py
+++ b/bench/peak_load.py
@@ -476,6 +476,7 @@
     parser.add_argument('--one', nargs=3, help='service, level and variant')
     parser.add_argument('--variants', nargs='*')
     parser.add_argument('--services', nargs='*', default=list(DEPLOYMENTS))
+    parser.add_argument('--levels', nargs='*', type=float, default=LEVELS)
     parser.add_argument(
         '--hidden',
         action='store_true',
@@ -494,7 +495,7 @@
         (service, level, variant, options.hidden)
         for variant in variants
         for service in options.services
-        for level in LEVELS
+        for level in options.levels
     ]
     with concurrent.futures.ThreadPoolExecutor(options.processes) as pool:
         rows = list(pool.map(_run_child, *zip(*jobs, strict=True)))
