--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -11,6 +11,7 @@
 from kingcupport.requests import answer
 from kingcupport.requests import backend_port
 from kingcupport.requests import drain_rate
+from kingcupport.requests import idle_peers
 from kingcupport.requests import job as job_module
 from kingcupport.requests import queue_order
 from kingcupport.requests import request_runner
@@ -95,6 +96,14 @@
         wait_ms = self._slot_wait_ms()
         return wait_ms if wait_ms <= MAX_AHEAD_MS else None
 
+    def needs_peers(self):
+        """Return whether requests wait longer than a transfer takes."""
+        return (
+            len(self._queue) > 0
+            and not self._draining
+            and self._slot_wait_ms() > 2 * idle_peers.TRANSFER_MS
+        )
+
     def _slot_wait_ms(self):
         if not self.server_ready:
             return math.inf
@@ -237,9 +246,15 @@
             if job is not None:
                 self._start_at_peer(job, offer)
         self._drain_rate.note_queue(bool(self._queue))
+        if self._shares_work and self.needs_peers():
+            self._sharing.note_waiting()
+
+    @property
+    def _shares_work(self):
+        return self._sharing is not None and self._settings.share_work
 
     def _take_offer(self):
-        if self._sharing is None or not self._settings.share_work:
+        if not self._shares_work:
             return None
         return self._sharing.idle_peers.take(self._slot_wait_ms())
 
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -12,6 +12,7 @@
 
 REPORT_INTERVAL_MS = 500
 REPORTED_PEERS = 3
+WAITING_INTERVAL_MS = 10
 
 
 class WorkSharing:
@@ -31,6 +32,7 @@
         self._loads = loads
         self._scheduler = None
         self._room = event.Event()
+        self._work_waits = event.Event()
         self._tasks = []
         self.permits = long_permits.LongPermits(link, clock, rng)
         self.sender = work_sender.WorkSender(link, clock)
@@ -56,6 +58,7 @@
         self._room.set()
         self._tasks = [
             gevent.spawn(self._offer_room),
+            gevent.spawn(self._announce_waiting),
             gevent.spawn(self._exchange_loads),
         ]
 
@@ -65,6 +68,7 @@
             work_messages.WorkRequest: self.idle_peers.handle_request,
             work_messages.WorkTransfer: self.receiver.handle_transfer,
             work_messages.WorkPoll: self.receiver.handle_poll,
+            work_messages.WorkWaiting: self.handle_waiting,
             work_messages.LoadReport: self.handle_report,
             work_messages.PermitRequest: self.permits.handle_request,
             work_messages.PermitRelease: self.permits.handle_release,
@@ -75,6 +79,14 @@
         self._note_report(message)
         return self._make_report()
 
+    def handle_waiting(self, message, peer):
+        """Offer the next free slot to the sender; handles WorkWaiting."""
+        view = self._link.read_view()
+        if message.service == view.service and message.sender in view.hosts:
+            self.idle_peers.note_loaded(message.sender)
+            self._room.set()
+        return self._make_report()
+
     def permit_share(self):
         """Return the number of permits for each of the service's agents."""
         view = self._link.read_view()
@@ -84,6 +96,10 @@
         """Tell that the scheduler's room for work has changed."""
         self._room.set()
 
+    def note_waiting(self):
+        """Tell that requests wait and no peer has offered a slot."""
+        self._work_waits.set()
+
     def stop(self):
         """End the background tasks."""
         gevent.killall(self._tasks, block=False)
@@ -96,6 +112,26 @@
                 self._scheduler.room_in_ms, self._room, self._note_report
             )
 
+    def _announce_waiting(self):
+        while True:
+            self._work_waits.wait()
+            if not self._scheduler.needs_peers():
+                self._work_waits.clear()
+                continue
+            peers = self._link.peers()
+            count = min(idle_peers.SAMPLED_PEERS, len(peers))
+            for peer in self._rng.sample(peers, count):
+                self._link.notify(
+                    peer,
+                    self._link.make(
+                        work_messages.WorkWaiting,
+                        service=self._link.read_view().service,
+                    ),
+                )
+            self._clock.sleep_until(
+                self._clock.monotonic_ms() + WAITING_INTERVAL_MS
+            )
+
     def _note_report(self, report):
         self._loads.note(report)
         self.idle_peers.note_report(report)
--- a/packages/wire/src/kingcupport/wire/work_messages.py
+++ b/packages/wire/src/kingcupport/wire/work_messages.py
@@ -197,3 +197,19 @@
     revision: int
     granted: bool
     lease_ms: int
+
+
+@message_codec.peer_message(68)
+@attrs.frozen
+class WorkWaiting:
+    """Tells a peer that requests wait at the sender; answered by LoadReport.
+
+    Args:
+        sender: Name of the agent with queued requests.
+        revision: Revision in force there.
+        service: Name of its service.
+    """
+
+    sender: str
+    revision: int
+    service: str
