Estimate the wait apart while long runs hold every slot

Change: one drain rate for that state and one for all others; the notices of waiting requests back off from 10 to 80 ms.

--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -14,7 +14,7 @@
         request: The Request.
         arrival_ms: When it was accepted, on the monotonic clock.
         expected_ms: Learned duration of its route.
-        long: Whether it needs a permit for long work.
+        long: Whether its route takes many times the typical request.
         result: Receives the one Answer.
         task: Task that runs it, hands it over or waits for a permit.
         permit: Permit that it holds, or None.
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -57,7 +57,11 @@
         self._ahead = collections.deque()
         self._admission = admission.Admission(settings.wait_percent)
         self._durations = route_durations.RouteDurations()
-        self._drain_rate = drain_rate.DrainRate(clock, slots)
+        # While long runs hold every slot, only peers drain the queue.
+        self._drain_rates = {
+            blocked: drain_rate.DrainRate(clock, slots)
+            for blocked in (False, True)
+        }
         self._budget = retry_budget.RetryBudget()
         self._draining = False
         self._backoff_ms = 0
@@ -177,12 +181,11 @@
             self._sharing.stop()
 
     def _make_job(self, request):
-        long = self._durations.is_long(request.route)
         return job_module.Job(
             request,
             self._clock.monotonic_ms(),
             self._durations.expected_ms(request.route),
-            long=long and self._caps_long_work,
+            long=self._durations.is_long(request.route),
         )
 
     @property
@@ -197,18 +200,18 @@
         )
 
     def _expected_wait_ms(self, job):
-        if job.long:
+        if job.long and self._caps_long_work:
             # Each agent's fair share of the permits serves its long work.
             work_ms = sum(j.expected_ms for j in self._waiting_long)
             return work_ms / self._sharing.permit_share()
         if self._free_slots and not self._queue:
             return 0
-        return self._drain_rate.wait_ms(
+        return self._drain_rates[self._blocked].wait_ms(
             self._queue.work_ahead_ms(job) + job.expected_ms
         )
 
     def _accept(self, job):
-        if job.long:
+        if job.long and self._caps_long_work:
             self._waiting_long[job] = True
             job.task = gevent.spawn(self._wait_for_permit, job)
             self._not_empty.set()
@@ -245,10 +248,20 @@
             job = self._pop()
             if job is not None:
                 self._start_at_peer(job, offer)
-        self._drain_rate.note_queue(bool(self._queue))
+        self._note_queue()
         if self._shares_work and self.needs_peers():
             self._sharing.note_waiting()
 
+    def _note_queue(self):
+        blocked = self._blocked
+        queued = bool(self._queue)
+        self._drain_rates[blocked].note_queue(queued)
+        self._drain_rates[not blocked].note_queue(False)
+
+    @property
+    def _blocked(self):
+        return self._free_slots == 0 and all(job.long for job in self._started)
+
     @property
     def _shares_work(self):
         return self._sharing is not None and self._settings.share_work
@@ -263,7 +276,7 @@
         if job.request.deadline_ms <= self._clock.monotonic_ms():
             self._finish(job, admission.make_not_run(_EXPIRED))
             return None
-        self._drain_rate.note_departure(job.expected_ms)
+        self._drain_rates[self._blocked].note_departure(job.expected_ms)
         return job
 
     def _start_here(self, job):
@@ -387,7 +400,7 @@
         """Cancel what is left of a job and free what it holds."""
         if not self._queue.remove(job):
             self._waiting_long.pop(job, None)
-        self._drain_rate.note_queue(bool(self._queue))
+        self._note_queue()
         if job.task is not None:
             job.task.kill(block=False)
         if job.permit is not None:
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -13,6 +13,7 @@
 REPORT_INTERVAL_MS = 500
 REPORTED_PEERS = 3
 WAITING_INTERVAL_MS = 10
+MAX_WAITING_INTERVAL_MS = 80
 
 
 class WorkSharing:
@@ -113,10 +114,12 @@
             )
 
     def _announce_waiting(self):
+        interval_ms = WAITING_INTERVAL_MS
         while True:
             self._work_waits.wait()
             if not self._scheduler.needs_peers():
                 self._work_waits.clear()
+                interval_ms = WAITING_INTERVAL_MS
                 continue
             peers = self._link.peers()
             count = min(idle_peers.SAMPLED_PEERS, len(peers))
@@ -128,9 +131,8 @@
                         service=self._link.read_view().service,
                     ),
                 )
-            self._clock.sleep_until(
-                self._clock.monotonic_ms() + WAITING_INTERVAL_MS
-            )
+            self._clock.sleep_until(self._clock.monotonic_ms() + interval_ms)
+            interval_ms = min(2 * interval_ms, MAX_WAITING_INTERVAL_MS)
 
     def _note_report(self, report):
         self._loads.note(report)
