Let short requests wait for at most 8 percent of their time

Cause: at 1.5 of capacity the p99 of accepted short requests in ticketing was 30 % of their deadline, the target is a quarter. Change: 12 to 8 percent.

--- a/packages/requests/src/kingcupport/requests/scheduler_settings.py
+++ b/packages/requests/src/kingcupport/requests/scheduler_settings.py
@@ -3,7 +3,7 @@
 import attrs
 
 # Half of the bound of a quarter of the deadline for accepted short requests.
-DEFAULT_WAIT_PERCENT = 12
+DEFAULT_WAIT_PERCENT = 8
 
 
 @attrs.frozen
