--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -20,6 +20,9 @@
         permit: Permit that it holds, or None.
         turn: Event that starts a request taken ahead of its slot, or None.
         started: Whether a run on this agent's server was begun.
+        uncertain: Whether an earlier attempt may have run.
+        queue_number: Place among jobs with the same key, 0 before the first
+            push; a job that comes back keeps its place.
         attempts: Number of runs that were begun.
     """
 
@@ -32,4 +35,6 @@
     permit: object = None
     turn: event.Event | None = None
     started: bool = False
+    uncertain: bool = False
+    queue_number: int = 0
     attempts: int = 0
--- a/packages/requests/src/kingcupport/requests/queue_order.py
+++ b/packages/requests/src/kingcupport/requests/queue_order.py
@@ -28,9 +28,11 @@
         """Return the number by which a Job is sorted, the least first."""
 
     def push(self, job):
-        """Add a Job; equal keys keep their order of arrival."""
-        self._pushed += 1
-        bisect.insort(self._entries, (self.key(job), self._pushed, job))
+        """Add a Job; equal keys keep the order of their first push."""
+        if job.queue_number == 0:
+            self._pushed += 1
+            job.queue_number = self._pushed
+        bisect.insort(self._entries, (self.key(job), job.queue_number, job))
 
     def pop(self):
         """Remove and return the next Job."""
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -380,6 +380,7 @@
 
     def _retry_or_refuse(self, job, outcome, error):
         job.attempts += 1
+        job.uncertain |= outcome == answer.Outcome.UNKNOWN
         may_retry = (
             (outcome == answer.Outcome.NOT_RUN or job.request.idempotent)
             and job.attempts < MAX_ATTEMPTS
@@ -393,8 +394,13 @@
         self._finish(job, answer.make_refusal(outcome, error.reason))
 
     def _finish(self, job, result):
-        if not job.result.ready():
-            job.result.set(result)
+        if job.result.ready():
+            return
+        if job.uncertain and result.outcome == answer.Outcome.NOT_RUN:
+            result = answer.make_refusal(
+                answer.Outcome.UNKNOWN, 'an earlier attempt may have run'
+            )
+        job.result.set(result)
 
     def _forget(self, job):
         """Cancel what is left of a job and free what it holds."""
