--- a/tests/requests/test_work_sharing.py
+++ b/tests/requests/test_work_sharing.py
@@ -25,6 +25,7 @@
 from kingcupport.requests import peer_link
 from kingcupport.requests import peer_loads
 from kingcupport.requests import request as request_module
+from kingcupport.requests import retry_budget
 from kingcupport.requests import scheduler
 from kingcupport.requests import service_view
 from kingcupport.requests import work_receiver
@@ -79,11 +80,18 @@
     def __init__(self, world):
         self._world = world
         self.shedding = False
+        self.fail_next = False
+        self.attempts = []
 
     def run(self, request):
+        self.attempts.append(request.request_id)
         if self.shedding:
             raise backend_port.NotRunError('shed', step='run')
         self._world.runs[request.request_id] += 1
+        if self.fail_next:
+            self.fail_next = False
+            self.shedding = True
+            raise backend_port.OutcomeUnknownError('cut', step='run')
         self._world.running.append(request)
         try:
             duration_ms = int(request.target.rpartition('/')[2])
@@ -358,11 +366,34 @@
 
 
 def test_retries_are_bounded_when_every_server_sheds(world):
+    attempts = []
     for agent in world.agents.values():
         agent.port.shedding = True
-    ids = [world.submit('a', 'POST') for _ in range(20)]
-    world.clock.advance(1000 + LATEST_MS)
-    assert [world.outcome(i) for i in ids] == ['not-run'] * 20
+        agent.port.attempts = attempts
+    ids = [world.submit('a', 'POST', 20, 8000) for _ in range(40)]
+    world.clock.advance(8000 + LATEST_MS)
+    assert [world.outcome(i) for i in ids] == ['not-run'] * 40
+    # Without successes there are only the retries of the reserve.
+    assert len(attempts) <= len(ids) + retry_budget.DEFAULT_RESERVE
+
+
+def test_shed_after_an_uncertain_attempt_is_unknown(world):
+    for name in 'bc':
+        world.agents.pop(name).kill()
+    world.agents['a'].port.fail_next = True
+    request_id = world.submit('a', 'GET', 10, 2000)
+    world.clock.advance(2000 + LATEST_MS)
+    assert world.runs[request_id] == 1
+    assert world.outcome(request_id) == 'unknown'
+
+
+def test_expired_in_the_queue_is_answered_at_the_deadline(world):
+    for name in 'bc':
+        world.agents.pop(name).kill()
+    world.submit('a', 'POST', 2000, 8000)
+    waiting = world.submit('a', 'POST', 10, 300)
+    world.clock.advance(300 + scheduler.EXPIRY_CHECK_MS)
+    assert world.outcome(waiting) == 'not-run'
 
 
 def test_cap_on_long_work(world):
@@ -430,6 +461,33 @@
             if name in self.world.agents:
                 self.world.submit(name, method, duration_ms, timeout_ms)
 
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        method=st.sampled_from(('GET', 'POST')),
+        message_class=st.sampled_from(
+            (work_messages.WorkTransfer, work_messages.WorkPoll)
+        ),
+        fault=st.sampled_from(FAULTS),
+        victim=st.sampled_from(NAMES),
+        action=st.sampled_from(('kill', 'pause', 'cut', 'drain', 'fail')),
+        after_ms=st.integers(0, 30),
+    )
+    def transfer_with_faults(
+        self, name, method, message_class, fault, victim, action, after_ms
+    ):
+        """Make transfers likely and let a second fault hit them."""
+        self.heal()
+        self.world.faults[message_class] = fault
+        self.submit(name, method, 150, 3000, 4)
+        self.world.clock.advance(after_ms)
+        if action == 'cut':
+            self.cut(name, victim)
+        elif action == 'fail' and victim in self.world.agents:
+            self.world.agents[victim].port.fail_next = True
+        elif action in ('kill', 'pause', 'drain'):
+            getattr(self, action)(victim)
+        self.world.clock.advance(after_ms)
+
     @stateful.rule(duration_ms=st.sampled_from((1, 3, 30, 120, 1000)))
     def advance(self, duration_ms):
         self.world.clock.advance(duration_ms)
@@ -506,6 +564,6 @@
 
 
 Machine.TestCase.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
+    derandomize=True, max_examples=100, stateful_step_count=30, deadline=None
 )
 TestMachine = Machine.TestCase
