--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -3,6 +3,7 @@
 import attrs
 from gevent import event
 
+from kingcupport.requests import answer
 from kingcupport.requests import request as request_module
 
 
@@ -38,3 +39,18 @@
     uncertain: bool = False
     queue_number: int = 0
     attempts: int = 0
+
+    def finish(self, result):
+        """Set the answer unless there is one.
+
+        Args:
+            result: The Answer. After an attempt that may have run, ``not-run``
+                becomes ``unknown``.
+        """
+        if self.result.ready():
+            return
+        if self.uncertain and result.outcome == answer.Outcome.NOT_RUN:
+            result = answer.make_refusal(
+                answer.Outcome.UNKNOWN, 'an earlier attempt may have run'
+            )
+        self.result.set(result)
--- a/packages/requests/src/kingcupport/requests/peer_loads.py
+++ b/packages/requests/src/kingcupport/requests/peer_loads.py
@@ -57,10 +57,6 @@
         counts.append(self._count_connections())
         return sum(counts) / len(counts)
 
-    def fresh_count(self):
-        """Return the number of peers whose report is not stale."""
-        return len(list(self._fresh()))
-
     def _fresh(self):
         now_ms = self._clock.monotonic_ms()
         return (
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -18,6 +18,8 @@
 from kingcupport.requests import retry_budget
 from kingcupport.requests import route_durations
 from kingcupport.requests import scheduler_settings
+from kingcupport.requests import server_health
+from kingcupport.requests import slots as slots_module
 
 MAX_ATTEMPTS = 3
 
@@ -25,8 +27,6 @@
 # could as well wait where it is.
 MAX_AHEAD_MS = 50
 EXPIRY_CHECK_MS = 50
-FIRST_BACKOFF_MS = 50
-MAX_BACKOFF_MS = 2000
 
 _DRAINING = 'this server is being withdrawn'
 _EXPIRED = 'the deadline passed in the queue'
@@ -47,25 +47,18 @@
         settings = settings or scheduler_settings.SchedulerSettings()
         self._port = port
         self._clock = clock
-        self._slots = slots
-        self._free_slots = slots
+        self._slots = slots_module.Slots(clock, slots)
         self._settings = settings
         self._sharing = sharing
         self._queue = queue_order.make_queue_order(settings.order)
         self._waiting_long = {}
-        self._started = {}
         self._ahead = collections.deque()
         self._admission = admission.Admission(settings.wait_percent)
         self._durations = route_durations.RouteDurations()
-        # While long runs hold every slot, only peers drain the queue.
-        self._drain_rates = {
-            blocked: drain_rate.DrainRate(clock, slots)
-            for blocked in (False, True)
-        }
+        self._drain_rate = drain_rate.DrainRate(clock, slots)
         self._budget = retry_budget.RetryBudget()
         self._draining = False
-        self._backoff_ms = 0
-        self._server_retry_ms = 0
+        self._health = server_health.ServerHealth(clock)
         self._not_empty = event.Event()
         self._expiry_task = gevent.spawn(self._expire_queued)
         if sharing is not None:
@@ -79,12 +72,12 @@
     @property
     def running(self):
         """Number of requests that run on the agent's server."""
-        return self._slots - self._free_slots
+        return self._slots.running
 
     @property
     def server_ready(self):
         """Whether the agent's server takes requests."""
-        return self._server_retry_ms <= self._clock.monotonic_ms()
+        return self._health.ready
 
     def room_in_ms(self):
         """Return when a peer's request could start here.
@@ -95,7 +88,7 @@
         """
         if self._queue or self._ahead or self._draining:
             return None
-        if not self.server_ready:
+        if not (self.server_ready and self._shares_work):
             return None
         wait_ms = self._slot_wait_ms()
         return wait_ms if wait_ms <= MAX_AHEAD_MS else None
@@ -109,15 +102,7 @@
         )
 
     def _slot_wait_ms(self):
-        if not self.server_ready:
-            return math.inf
-        if self._free_slots:
-            return 0
-        now_ms = self._clock.monotonic_ms()
-        return min(
-            _remaining_ms(job.expected_ms, now_ms - started_ms)
-            for job, started_ms in self._started.items()
-        )
+        return self._slots.wait_ms() if self.server_ready else math.inf
 
     def submit(self, request):
         """Run a request here or at a peer; see ``RequestRunner.submit``."""
@@ -168,7 +153,7 @@
         self._draining = True
         jobs = (*self._queue, *self._waiting_long)
         for job in jobs:
-            self._finish(job, admission.make_not_run(_DRAINING))
+            job.finish(admission.make_not_run(_DRAINING))
             self._forget(job)
         for job in self._ahead:
             job.task.kill(block=False)
@@ -204,9 +189,9 @@
             # Each agent's fair share of the permits serves its long work.
             work_ms = sum(j.expected_ms for j in self._waiting_long)
             return work_ms / self._sharing.permit_share()
-        if self._free_slots and not self._queue:
+        if self._slots.free and not self._queue:
             return 0
-        return self._drain_rates[self._blocked].wait_ms(
+        return self._drain_rate.wait_ms(
             self._queue.work_ahead_ms(job) + job.expected_ms
         )
 
@@ -226,7 +211,7 @@
 
     def _enqueue(self, job):
         if self._draining:
-            self._finish(job, admission.make_not_run(_DRAINING))
+            job.finish(admission.make_not_run(_DRAINING))
             return
         self._queue.push(job)
         self._not_empty.set()
@@ -234,10 +219,10 @@
 
     def dispatch(self):
         """Start queued requests while a slot or an idle peer is free."""
-        while self._free_slots and self._ahead and self.server_ready:
+        while self._slots.free and self._ahead and self.server_ready:
             self._start_here(self._ahead.popleft())
         while self._queue and not self._draining:
-            if self._free_slots and self.server_ready:
+            if self._slots.free and self.server_ready:
                 job = self._pop()
                 if job is not None:
                     self._start_here(job)
@@ -248,19 +233,12 @@
             job = self._pop()
             if job is not None:
                 self._start_at_peer(job, offer)
-        self._note_queue()
+        self._note_state()
         if self._shares_work and self.needs_peers():
             self._sharing.note_waiting()
 
-    def _note_queue(self):
-        blocked = self._blocked
-        queued = bool(self._queue)
-        self._drain_rates[blocked].note_queue(queued)
-        self._drain_rates[not blocked].note_queue(False)
-
-    @property
-    def _blocked(self):
-        return self._free_slots == 0 and all(job.long for job in self._started)
+    def _note_state(self):
+        self._drain_rate.note_state(len(self._queue) > 0, self._slots.blocked)
 
     @property
     def _shares_work(self):
@@ -274,14 +252,14 @@
     def _pop(self):
         job = self._queue.pop()
         if job.request.deadline_ms <= self._clock.monotonic_ms():
-            self._finish(job, admission.make_not_run(_EXPIRED))
+            job.finish(admission.make_not_run(_EXPIRED))
             return None
-        self._drain_rates[self._blocked].note_departure(job.expected_ms)
+        self._drain_rate.note_departure(job.expected_ms)
         return job
 
     def _start_here(self, job):
-        self._free_slots -= 1
-        self._started[job] = self._clock.monotonic_ms()
+        self._slots.start(job)
+        self._note_state()
         job.started = True
         if job.turn is not None:
             job.turn.set()
@@ -312,13 +290,12 @@
         if not job.started:
             return
         if job.request.deadline_ms <= self._clock.monotonic_ms():
-            self._finish(job, admission.make_not_run(_EXPIRED))
+            job.finish(admission.make_not_run(_EXPIRED))
             return
         self._run_here(job)
 
     def _release_slot(self, job, task):
-        self._free_slots += 1
-        del self._started[job]
+        self._slots.end(job)
         self._check_failure(job, task)
         self._dispatch_and_offer()
 
@@ -330,8 +307,7 @@
     def _check_failure(self, job, task):
         """Answer a job whose task ended by an error that nothing handles."""
         if task.exception is not None:
-            self._finish(
-                job,
+            job.finish(
                 answer.make_refusal(
                     answer.Outcome.UNKNOWN, 'internal error while running'
                 ),
@@ -342,12 +318,12 @@
         try:
             result = self._port.run(job.request)
         except backend_port.NotRunError as error:
-            self._back_off()
+            gevent.spawn(self._dispatch_at, self._health.note_failure())
             self._retry_or_refuse(job, answer.Outcome.NOT_RUN, error)
         except backend_port.OutcomeUnknownError as error:
             self._retry_or_refuse(job, answer.Outcome.UNKNOWN, error)
         else:
-            self._backoff_ms = 0
+            self._health.note_success()
             elapsed_ms = self._clock.monotonic_ms() - started_ms
             self._durations.note(job.request.route, elapsed_ms)
             self._succeed(job, result)
@@ -376,7 +352,7 @@
 
     def _succeed(self, job, result):
         self._budget.note_success()
-        self._finish(job, result)
+        job.finish(result)
 
     def _retry_or_refuse(self, job, outcome, error):
         job.attempts += 1
@@ -391,36 +367,19 @@
             job.task = None
             self._enqueue(job)
             return
-        self._finish(job, answer.make_refusal(outcome, error.reason))
-
-    def _finish(self, job, result):
-        if job.result.ready():
-            return
-        if job.uncertain and result.outcome == answer.Outcome.NOT_RUN:
-            result = answer.make_refusal(
-                answer.Outcome.UNKNOWN, 'an earlier attempt may have run'
-            )
-        job.result.set(result)
+        job.finish(answer.make_refusal(outcome, error.reason))
 
     def _forget(self, job):
         """Cancel what is left of a job and free what it holds."""
         if not self._queue.remove(job):
             self._waiting_long.pop(job, None)
-        self._note_queue()
+        self._note_state()
         if job.task is not None:
             job.task.kill(block=False)
         if job.permit is not None:
             self._sharing.permits.release(job.permit)
             job.permit = None
 
-    def _back_off(self):
-        self._backoff_ms = min(
-            MAX_BACKOFF_MS, 2 * self._backoff_ms or FIRST_BACKOFF_MS
-        )
-        until_ms = self._clock.monotonic_ms() + self._backoff_ms
-        self._server_retry_ms = until_ms
-        gevent.spawn(self._dispatch_at, until_ms)
-
     def _dispatch_at(self, due_ms):
         self._clock.sleep_until(due_ms)
         self._dispatch_and_offer()
@@ -431,14 +390,9 @@
             now_ms = self._clock.monotonic_ms()
             for job in (*self._queue, *self._waiting_long):
                 if job.request.deadline_ms <= now_ms:
-                    self._finish(job, admission.make_not_run(_EXPIRED))
+                    job.finish(admission.make_not_run(_EXPIRED))
                     self._forget(job)
             if not self.queued:
                 self._not_empty.clear()
                 continue
             self._clock.sleep_until(now_ms + EXPIRY_CHECK_MS)
-
-
-def _remaining_ms(expected_ms, elapsed_ms):
-    # A run that has lasted longer than expected is likely to last on.
-    return max(expected_ms - elapsed_ms, elapsed_ms / 4, 1)
--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -97,14 +97,6 @@
             return self._reply(record.state, record.result)
         return self._wait(record)
 
-    def running(self):
-        """Return the number of transferred requests that run here."""
-        return sum(
-            record.state == 'running'
-            for sender in self._senders.values()
-            for record in sender.records.values()
-        )
-
     def _sender(self, message):
         known = self._senders.get(message.sender)
         if known is not None and message.incarnation < known.incarnation:
--- /dev/null
+++ b/tests/requests/test_service_view.py
@@ -0,0 +1,38 @@
+"""Guards against agents that rank the owners of permits differently."""
+
+import pytest
+
+from kingcupport.common import address
+from kingcupport.fleet import backend_server
+from kingcupport.fleet import fleet
+from kingcupport.fleet import service
+from kingcupport.requests import service_view
+
+
+def _fleet(hosts, slots):
+    at = address.Address('127.0.0.1', 1)
+    servers = [
+        backend_server.BackendServer(f'h{n}', 'gate', at, at, 'dakar', slots)
+        for n in hosts
+    ]
+    return fleet.Fleet(
+        revision=3,
+        services={'gate': service.Service('gate', at)},
+        backend_servers={s.name: s for s in servers},
+    )
+
+
+@pytest.mark.parametrize(
+    ('slots', 'hosts', 'permits'), [(1, 7, 3), (2, 7, 6), (1, 1, 1)]
+)
+def test_permits_are_the_share_of_the_slots(slots, hosts, permits):
+    view = service_view.make_service_view(_fleet(range(hosts), slots), 'gate')
+    assert view.permits == permits
+    assert view.revision == 3
+
+
+def test_rank_moves_only_for_the_host_that_left():
+    before = service_view.make_service_view(_fleet(range(7), 1), 'gate')
+    after = service_view.make_service_view(_fleet(range(6), 1), 'gate')
+    kept = [name for name in before.ranked_hosts if name != 'h6']
+    assert list(after.ranked_hosts) == kept
