Bound kept answers over all senders and check names and numbers

Cause: review of what a peer can make an agent keep: answers were bounded for each sender only, permit numbers not at all, and load reports of a process that has taken over an address were counted.

--- a/bench/peak_load.py
+++ b/bench/peak_load.py
@@ -238,10 +238,10 @@
     arrival.outcome = str(result.outcome)
 
 
-def run_one(service, level, variant, hidden):
+def run_one(service, level, variant, hidden, seed):
     """Run one variant in this process and return its figures."""
     deployment = peak_load_trace.DEPLOYMENTS[service]
-    trace = peak_load_trace.make_trace(deployment, level, hidden)
+    trace = peak_load_trace.make_trace(deployment, level, hidden, seed)
     if variant in IDEALS:
         extra = peak_load_trace.replay_ideal(
             deployment, trace, variant == 'ideal_capped'
@@ -257,8 +257,9 @@
     }
 
 
-def _run_child(service, level, variant, hidden):
+def _run_child(service, level, variant, hidden, seed):
     command = [sys.executable, __file__, '--one', service, str(level), variant]
+    command += ['--seed', str(seed)]
     if hidden:
         command.append('--hidden')
     done = subprocess.run(command, check=True, capture_output=True, text=True)
@@ -301,17 +302,20 @@
         action='store_true',
         help='stragglers come on the routes of short requests',
     )
+    parser.add_argument('--seed', type=int, default=SEED)
     parser.add_argument('--processes', type=int, default=PROCESSES)
     parser.add_argument('--save', type=pathlib.Path)
     options = parser.parse_args()
     if options.one:
         service, level, variant = options.one
-        row = run_one(service, float(level), variant, options.hidden)
+        row = run_one(
+            service, float(level), variant, options.hidden, options.seed
+        )
         print(json.dumps(row))
         return
     variants = options.variants or [*VARIANTS, *IDEALS]
     jobs = [
-        (service, level, variant, options.hidden)
+        (service, level, variant, options.hidden, options.seed)
         for variant in variants
         for service in options.services
         for level in options.levels
--- a/packages/requests/src/kingcupport/requests/idle_peers.py
+++ b/packages/requests/src/kingcupport/requests/idle_peers.py
@@ -43,7 +43,8 @@
 
     def note_loaded(self, peer):
         """Remember a peer that has queued work."""
-        self._loaded_peers.setdefault(peer, None)
+        if peer in self._link.read_view().hosts:
+            self._loaded_peers.setdefault(peer, None)
 
     def note_report(self, report):
         """Remember the sender of a LoadReport if it has queued work."""
--- a/packages/requests/src/kingcupport/requests/long_permits.py
+++ b/packages/requests/src/kingcupport/requests/long_permits.py
@@ -64,7 +64,11 @@
 
     def handle_request(self, message, peer):
         """Grant, renew or deny a permit; handles PermitRequest."""
-        deadline_ms = self._clock.monotonic_ms() + message.wait_ms
+        if not 0 <= message.permit < self._link.read_view().permits:
+            return self._reply(False)
+        deadline_ms = self._clock.monotonic_ms() + min(
+            message.wait_ms, WAIT_MS
+        )
         while True:
             now_ms = self._clock.monotonic_ms()
             holder = self._holders.get(message.permit)
--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -62,6 +62,7 @@
         self._start = start
         self._on_refused = on_refused
         self._senders = collections.OrderedDict()
+        self._answer_bytes = 0
 
     def handle_transfer(self, message, peer):
         """Run a request or join its earlier delivery; handles WorkTransfer."""
@@ -102,13 +103,21 @@
         if known is not None and message.incarnation < known.incarnation:
             return None
         if known is None or message.incarnation > known.incarnation:
+            self._forget_sender(message.sender)
             known = _Sender(message.incarnation)
             self._senders[message.sender] = known
         self._senders.move_to_end(message.sender)
         if len(self._senders) > MAX_SENDERS:
-            self._senders.popitem(last=False)
+            self._forget_sender(next(iter(self._senders)))
         return known
 
+    def _forget_sender(self, name):
+        forgotten = self._senders.pop(name, None)
+        if forgotten is not None:
+            self._answer_bytes -= sum(
+                record.size_bytes for record in forgotten.records.values()
+            )
+
     def _begin(self, sender, message, peer):
         request = self._make_request(message, peer)
         record = self._remember(sender, message.sequence, 'running')
@@ -117,6 +126,8 @@
             if job.result.ready():
                 record.result = job.result.value
                 record.state = 'done'
+                if self._senders.get(message.sender) is sender:
+                    self._answer_bytes += record.size_bytes
             else:
                 record.state = 'lost' if job.started else 'refused'
             record.finished.set()
@@ -154,15 +165,14 @@
         return record
 
     def _drop_old(self, sender):
-        size_bytes = sum(r.size_bytes for r in sender.records.values())
         for sequence, record in list(sender.records.items()):
             too_many = len(sender.records) > MAX_RECORDS
-            if not too_many and size_bytes <= MAX_ANSWER_BYTES:
+            if not too_many and self._answer_bytes <= MAX_ANSWER_BYTES:
                 return
             if record.state == 'running':
                 continue
             del sender.records[sequence]
-            size_bytes -= record.size_bytes
+            self._answer_bytes -= record.size_bytes
             sender.forgotten_sequence = max(
                 sender.forgotten_sequence, sequence
             )
--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -135,6 +135,9 @@
             interval_ms = min(2 * interval_ms, MAX_WAITING_INTERVAL_MS)
 
     def _note_report(self, report):
+        # Addresses are reused, so it may come from another service.
+        if report.sender not in self._link.read_view().hosts:
+            return
         self._loads.note(report)
         self.idle_peers.note_report(report)
 
--- a/tests/requests/test_work_sharing.py
+++ b/tests/requests/test_work_sharing.py
@@ -97,6 +97,48 @@
     assert states[-1] == 'lost'
 
 
+def test_kept_answers_are_bounded(world, monkeypatch):
+    monkeypatch.setattr(work_receiver, 'MAX_ANSWER_BYTES', 10)
+    receiver = world.agents['b'].sharing.receiver
+    states = []
+    for sequence in range(1, 9):
+        message = work_messages.WorkTransfer(
+            'a',
+            1,
+            's',
+            7,
+            sequence,
+            1000,
+            1000,
+            f'long-name-{sequence}',
+            'GET',
+            '/1',
+            [],
+            b'',
+            '',
+        )
+        task = gevent.spawn(receiver.handle_transfer, message, 'a')
+        world.clock.advance(10)
+        states.append(task.value.state)
+    assert states == ['done'] * 8
+    poll = work_messages.WorkPoll('a', 1, 7, 1, 1000, False)
+    assert receiver.handle_poll(poll, 'a').state == 'lost'
+
+
+@pytest.mark.parametrize('permit', [-1, 1, 10**9])
+def test_permit_that_does_not_exist_is_not_granted(world, permit):
+    message = work_messages.PermitRequest('b', 1, 7, 1, permit, 10**9)
+    permits = world.agents['a'].sharing.permits
+    assert not permits.handle_request(message, 'b').granted
+
+
+def test_load_report_of_another_service_does_not_count(world):
+    sharing = world.agents['a'].sharing
+    report = work_messages.LoadReport('stranger', 1, 10**6, 1, 1)
+    sharing.handle_report(report, 'stranger')
+    assert world.agents['a'].loads.mean_connections() == 10
+
+
 def test_drained_agent_takes_nothing_and_gives_back(world):
     world.agents['b'].scheduler.drain()
     world.agents['c'].scheduler.drain()
