--- a/packages/requests/src/kingcupport/requests/service_view.py
+++ b/packages/requests/src/kingcupport/requests/service_view.py
@@ -5,6 +5,8 @@
 import attrs
 import xxhash
 
+from kingcupport.fleet import service as service_module
+
 
 @attrs.frozen(slots=False)
 class ServiceView:
@@ -45,17 +47,39 @@
 
 
 def make_service_view(fleet, service_name):
-    """Return the ServiceView of a service that is in the fleet.
+    """Return the ServiceView of a service.
 
     Args:
         fleet: The Fleet in force.
-        service_name: Name of the service.
+        service_name: Name of the service; one that has been withdrawn has
+            no hosts.
     """
     members = fleet.backend_servers_of(service_name)
+    found = fleet.services.get(service_name)
+    percent = service_module.DEFAULT_LONG_WORK_PERCENT
     return ServiceView(
         service=service_name,
         revision=fleet.revision,
         hosts=tuple(member.name for member in members),
         total_slots=sum(member.slots for member in members),
-        long_work_percent=fleet.services[service_name].long_work_percent,
+        long_work_percent=found.long_work_percent if found else percent,
     )
+
+
+def make_view_reader(read_fleet, service_name):
+    """Return a callable that makes a ServiceView once for each fleet.
+
+    Args:
+        read_fleet: Callable that returns the Fleet in force.
+        service_name: Name of the service.
+    """
+    kept = (None, None)
+
+    def read_view():
+        nonlocal kept
+        fleet = read_fleet()
+        if kept[0] is not fleet:
+            kept = (fleet, make_service_view(fleet, service_name))
+        return kept[1]
+
+    return read_view
--- a/tests/requests/test_service_view.py
+++ b/tests/requests/test_service_view.py
@@ -36,3 +36,17 @@
     after = service_view.make_service_view(_fleet(range(6), 1), 'gate')
     kept = [name for name in before.ranked_hosts if name != 'h6']
     assert list(after.ranked_hosts) == kept
+
+
+def test_reader_follows_the_fleet_and_a_withdrawn_service():
+    fleets = [_fleet(range(7), 1), _fleet(range(6), 1), fleet.Fleet(9)]
+    read_view = service_view.make_view_reader(lambda: fleets[0], 'gate')
+    assert read_view() is read_view()
+    seen = []
+    while fleets:
+        seen.append(len(read_view().hosts))
+        last = read_view()
+        fleets.pop(0)
+    assert seen == [7, 6, 0]
+    assert last.revision == 9
+    assert last.ranked_hosts == ()
