Test the retry budget with servers that fail without a pause

Cause: a scratch copy without the budget passed the tests; shedding servers are paused, so few retries came about.

--- a/tests/requests/test_work_sharing.py
+++ b/tests/requests/test_work_sharing.py
@@ -172,22 +172,31 @@
     assert [world.outcome(i) for i in ids] == ['ran'] * 3
 
 
-def test_retries_are_bounded_when_every_server_sheds(world):
+def test_retries_are_bounded_when_every_server_fails(world):
     attempts = []
     for agent in world.agents.values():
-        agent.port.shedding = True
+        agent.port.failures = 1000
         agent.port.attempts = attempts
-    ids = [world.submit('a', 'POST', 20, 8000) for _ in range(40)]
+    ids = [world.submit('a', 'GET', 20, 8000) for _ in range(40)]
     world.clock.advance(8000 + simulated_agents.LATEST_MS)
-    assert [world.outcome(i) for i in ids] == ['not-run'] * 40
+    assert [world.outcome(i) for i in ids] == ['unknown'] * 40
     # Without successes there are only the retries of the reserve.
     assert len(attempts) <= len(ids) + retry_budget.DEFAULT_RESERVE
 
 
+def test_every_server_sheds(world):
+    for agent in world.agents.values():
+        agent.port.shedding = True
+    ids = [world.submit('a', 'POST', 20, 8000) for _ in range(40)]
+    world.clock.advance(8000 + simulated_agents.LATEST_MS)
+    assert [world.outcome(i) for i in ids] == ['not-run'] * 40
+
+
 def test_shed_after_an_uncertain_attempt_is_unknown(world):
     for name in 'bc':
         world.agents.pop(name).kill()
-    world.agents['a'].port.fail_next = True
+    world.agents['a'].port.failures = 1
+    world.agents['a'].port.sheds_after_failure = True
     request_id = world.submit('a', 'GET', 10, 2000)
     world.clock.advance(2000 + simulated_agents.LATEST_MS)
     assert world.runs[request_id] == 1
--- a/tests/requests/test_work_sharing_faults.py
+++ b/tests/requests/test_work_sharing_faults.py
@@ -50,7 +50,7 @@
         if action == 'cut':
             self.cut(name, victim)
         elif action == 'fail' and victim in self.world.agents:
-            self.world.agents[victim].port.fail_next = True
+            self.world.agents[victim].port.failures += 1
         elif action in ('kill', 'pause', 'drain'):
             getattr(self, action)(victim)
         self.world.clock.advance(after_ms)
--- a/tests/simulated_agents.py
+++ b/tests/simulated_agents.py
@@ -68,7 +68,9 @@
     def __init__(self, world):
         self._world = world
         self.shedding = False
-        self.fail_next = False
+        # Number of runs that fail with an unknown outcome.
+        self.failures = 0
+        self.sheds_after_failure = False
         self.attempts = []
 
     def run(self, request):
@@ -76,9 +78,9 @@
         if self.shedding:
             raise backend_port.NotRunError('shed', step='run')
         self._world.runs[request.request_id] += 1
-        if self.fail_next:
-            self.fail_next = False
-            self.shedding = True
+        if self.failures:
+            self.failures -= 1
+            self.shedding = self.sheds_after_failure
             raise backend_port.OutcomeUnknownError('cut', step='run')
         self._world.running.append(request)
         try:
