Let the state machine bring agents back between faults

Cause: agents stayed drained or killed, so few of its requests ran and planted faults passed it. Change: a rule that recovers every agent, also before transfers with faults; 200 examples instead of 100.

--- a/tests/requests/test_work_sharing_faults.py
+++ b/tests/requests/test_work_sharing_faults.py
@@ -43,7 +43,7 @@
         self, name, method, message_class, fault, victim, action, after_ms
     ):
         """Make transfers likely and let a second fault hit them."""
-        self.heal()
+        self.recover()
         self.world.faults[message_class] = fault
         self.submit(name, method, 150, 3000, 4)
         self.world.clock.advance(after_ms)
@@ -109,7 +109,7 @@
     @stateful.rule(name=st.sampled_from(simulated_agents.NAMES))
     def drain(self, name):
         if name in self.world.agents:
-            self.world.agents[name].scheduler.drain()
+            self.world.agents[name].drain()
 
     @stateful.rule(
         name=st.sampled_from(simulated_agents.NAMES), shedding=st.booleans()
@@ -118,6 +118,17 @@
         if name in self.world.agents:
             self.world.agents[name].port.shedding = shedding
 
+    @stateful.rule()
+    def recover(self):
+        """Bring every agent back, so that later faults hit working ones."""
+        self.heal()
+        for name in simulated_agents.NAMES:
+            self.resume(name)
+            agent = self.world.agents.get(name)
+            if agent is None or agent.drained:
+                self.kill(name)
+                self.restart(name)
+
     @stateful.invariant()
     def answers_are_right(self):
         self.world.check()
@@ -136,6 +147,6 @@
 
 
 Machine.TestCase.settings = settings(
-    derandomize=True, max_examples=100, stateful_step_count=30, deadline=None
+    derandomize=True, max_examples=200, stateful_step_count=30, deadline=None
 )
 TestMachine = Machine.TestCase
--- a/tests/simulated_agents.py
+++ b/tests/simulated_agents.py
@@ -162,6 +162,11 @@
             self.port, world.clock, slots, sharing=self.sharing
         )
         self.handlers = self.sharing.handlers()
+        self.drained = False
+
+    def drain(self):
+        self.drained = True
+        return self.scheduler.drain()
 
     def kill(self):
         self.scheduler.stop()
