Add byte streams, connections, routing tables and the balancer's data path

Cause: the end-to-end path needs connections that survive lost packets and tables on which all balancers agree. Ruled out: a stored score for each bucket (8 bytes x 1,024 x 520 services); scoring the old owner again costs one hash and no memory. Change: output and input streams, HTTP parsing and formatting with h11, the connection task, bucket tables, hint cache, data path, UDP socket that reads IP_RECVERR.

--- /dev/null
+++ b/packages/balancer/src/kingcupport/balancer/data_path.py
@@ -0,0 +1,166 @@
+"""Forwards packets to the agents that own their connections."""
+
+from kingcupport.common import address
+from kingcupport.common import errors
+from kingcupport.routing import fleet_tables
+from kingcupport.wire import datagrams
+from kingcupport.wire import packet as packet_module
+
+# Candidates that are considered when the first ones are unreachable.
+MAX_CANDIDATES = 8
+
+
+class DataPath:
+    """Chooses an agent for each packet and sends it there in an envelope.
+
+    Args:
+        fleet: The Fleet in force.
+        own_address: ``ip:port`` of this balancer, for location hints.
+        packet_format: PacketFormat of the fabric.
+        send: Called as ``send(data, (ip, port))``; never blocks.
+        hints: HintCache.
+        suspects: Suspects, names of agents to avoid for a while.
+        on_datagram: Called as ``on_datagram(datagram, source)`` with
+            datagrams other than packets and location hints.
+        counters: Counters of the data path.
+    """
+
+    def __init__(
+        self,
+        fleet,
+        own_address,
+        packet_format,
+        send,
+        hints,
+        suspects,
+        on_datagram,
+        counters,
+    ):
+        self._own_address = str(own_address)
+        self._format = packet_format
+        self._send = send
+        self._hints = hints
+        self._suspects = suspects
+        self._on_datagram = on_datagram
+        self.counters = counters
+        self._tables = fleet_tables.FleetTables(fleet)
+        self._load_fleet(fleet)
+
+    def set_fleet(self, fleet):
+        """Route by another fleet from now on."""
+        self._tables = fleet_tables.FleetTables(fleet, self._tables)
+        self._load_fleet(fleet)
+        self._hints.keep_agents(fleet.backend_servers.keys())
+
+    def _load_fleet(self, fleet):
+        self.fleet = fleet
+        self._services = {
+            str(service.address): service.name
+            for service in fleet.services.values()
+        }
+        self._headers = {
+            name: datagrams.encode_envelope(
+                name, fleet.revision, self._own_address, [], b''
+            )
+            for name in fleet.services
+        }
+        self._agent_addresses = {
+            member.name: member.agent_address.as_tuple()
+            for member in fleet.backend_servers.values()
+        }
+        self._agents_by_address = {
+            sent_to: name for name, sent_to in self._agent_addresses.items()
+        }
+
+    def on_data(self, data, source):
+        """Handle one datagram; malformed ones are counted and dropped.
+
+        Args:
+            data: Bytes of the datagram.
+            source: ``(ip, port)`` of the sender.
+        """
+        self.counters.datagrams += 1
+        try:
+            fields = self._format.routing_fields(data)
+            if fields is None:
+                self._on_other_datagram(data, source)
+                return
+        except errors.KingcupportError:
+            self.counters.malformed += 1
+            return
+        service = self._services.get(fields.service_address)
+        agent_name = self.target(service, fields.connection_id)
+        if agent_name is None:
+            self._refuse(fields, data)
+            return
+        self.counters.forwarded += 1
+        self._send(
+            self._headers[service] + data, self._agent_addresses[agent_name]
+        )
+
+    def target(self, service, connection_id):
+        """Return the name of the agent for a connection, or None.
+
+        Args:
+            service: Name of the service; None gives None.
+            connection_id: The connection.
+        """
+        agent_name = self._hints.get(connection_id)
+        if agent_name is not None and self._serves(agent_name, service):
+            return agent_name
+        table = self._tables.table(service) if service else None
+        if table is None:
+            return None
+        agent_name = table.owner(connection_id)
+        if self._suspects and agent_name in self._suspects:
+            return self._next_candidate(table, connection_id, agent_name)
+        return agent_name
+
+    def _serves(self, agent_name, service):
+        if self._suspects and agent_name in self._suspects:
+            return False
+        member = self.fleet.backend_servers.get(agent_name)
+        return member is not None and member.service == service
+
+    def _next_candidate(self, table, connection_id, default):
+        candidates = table.candidates(connection_id, MAX_CANDIDATES)
+        usable = (name for name in candidates if name not in self._suspects)
+        return next(usable, default)
+
+    def table(self, service):
+        """Return a service's BucketTable, or None."""
+        return self._tables.table(service)
+
+    def hint(self, connection_id):
+        """Return the agent's name that a hint gives, or None."""
+        return self._hints.get(connection_id)
+
+    def on_unreachable(self, destination):
+        """Avoid the agent at an address for a while.
+
+        Args:
+            destination: ``(ip, port)``.
+        """
+        agent_name = self._agents_by_address.get(tuple(destination))
+        if agent_name is not None:
+            self.counters.unreachable += 1
+            self._suspects.add(agent_name)
+
+    def _on_other_datagram(self, data, source):
+        datagram = datagrams.decode_datagram(data)
+        if isinstance(datagram, datagrams.LocationHint):
+            self.counters.hints += 1
+            self._hints.put(datagram.connection_id, datagram.agent_name)
+        else:
+            self._on_datagram(datagram, source)
+
+    def _refuse(self, fields, data):
+        """Tell the caller that no host serves the address."""
+        self.counters.refused += 1
+        if fields.kind == packet_module.PacketKind.RESET:
+            return
+        packet = self._format.decode(data)
+        packet.kind = int(packet_module.PacketKind.RESET)
+        packet.payload = b''
+        destination = address.parse_address(fields.return_address)
+        self._send(self._format.encode(packet), destination.as_tuple())
--- /dev/null
+++ b/packages/connections/src/kingcupport/connections/connection.py
@@ -0,0 +1,416 @@
+"""A caller's connection at the agent that owns it."""
+
+import collections
+import itertools
+
+import attrs
+import gevent
+from gevent import event
+
+from kingcupport.connections import connection_identity
+from kingcupport.connections import http_answers
+from kingcupport.connections import http_requests
+from kingcupport.connections import input_stream
+from kingcupport.connections import output_stream
+from kingcupport.connections import pending_request
+from kingcupport.requests import answer as answer_module
+from kingcupport.requests import request as request_module
+from kingcupport.wire import packet as packet_module
+
+TIMEOUT_HEADER = b'kingcupport-timeout-ms'
+IDEMPOTENCY_HEADER = b'idempotency-key'
+MAX_TIMEOUT_MS = 600_000
+MAX_KEY_BYTES = 255
+MAX_INBOX_PACKETS = 1024
+
+
+@attrs.frozen
+class ConnectionLimits:
+    """Bounds of one connection.
+
+    Args:
+        half_open_timeout_ms: Time for the first packet that repeats the
+            stream id.
+        idle_timeout_ms: Time without a packet after which a connection
+            without pending requests ends.
+        request_timeout_ms: Time for a whole request after its first byte.
+        max_pipelined_count: Requests accepted before the first is answered.
+        default_timeout_ms: Time a request may take when the caller states
+            none.
+    """
+
+    half_open_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 86_400_000
+    request_timeout_ms: int = 30_000
+    max_pipelined_count: int = 16
+    default_timeout_ms: int = 10_000
+
+
+@attrs.frozen
+class ConnectionState:
+    """What another agent needs to go on with a connection.
+
+    Args:
+        identity: The ConnectionIdentity.
+        input_offset: Position of the next byte expected from the caller.
+        input_ended: Whether the caller has ended its stream.
+        unparsed: Bytes of an incomplete request.
+        output: OutputState of the answers.
+        pending: PendingRequest in order; the requests run elsewhere.
+        closing: Whether no further request is taken.
+    """
+
+    identity: connection_identity.ConnectionIdentity
+    input_offset: int
+    input_ended: bool
+    unparsed: bytes
+    output: output_stream.OutputState
+    pending: tuple
+    closing: bool
+
+
+class Connection:
+    """Terminates one connection: streams, requests, answers in order.
+
+    One task runs it, started by ``start``. Other tasks only append to the
+    inbox, set results and wake it.
+
+    Args:
+        identity: The ConnectionIdentity.
+        send_packet: Called with each Packet for the caller; never blocks.
+        runner: RequestRunner for the requests.
+        clock: Clock.
+        limits: ConnectionLimits.
+        make_request_id: Returns a unique text for a request.
+        on_end: Called with the connection when it has ended.
+        state: ConnectionState to continue from; None for a new connection.
+    """
+
+    def __init__(
+        self,
+        identity,
+        send_packet,
+        runner,
+        clock,
+        limits,
+        make_request_id,
+        on_end,
+        state=None,
+    ):
+        self.identity = identity
+        self.frozen = False
+        self.confirmed = state is not None
+        self._send_packet = send_packet
+        self._runner = runner
+        self._clock = clock
+        self._limits = limits
+        self._make_request_id = make_request_id
+        self._on_end = on_end
+        self._inbox = collections.deque()
+        self._wake = event.Event()
+        self._parser = http_requests.RequestParser()
+        self._pending = collections.deque()
+        self._ended = False
+        self._closing = False
+        self._refusal = None
+        self._task = None
+        self._request_deadline_ms = None
+        now_ms = clock.monotonic_ms()
+        if state is None:
+            self._input = input_stream.InputStream()
+            self._output = output_stream.OutputStream(
+                self._send_segment, clock
+            )
+            self._idle_deadline_ms = now_ms + limits.half_open_timeout_ms
+        else:
+            self._continue_from(state, now_ms)
+
+    def _continue_from(self, state, now_ms):
+        self._input = input_stream.InputStream(
+            state.input_offset, state.input_ended
+        )
+        self._output = output_stream.OutputStream(
+            self._send_segment, self._clock, state.output
+        )
+        self._closing = state.closing
+        self._pending.extend(state.pending)
+        self._idle_deadline_ms = now_ms + self._limits.idle_timeout_ms
+        if state.unparsed:
+            self._parse(state.unparsed)
+        # Resends the unacknowledged output from the new owner.
+        self._output.write(b'')
+
+    @property
+    def idle(self):
+        """Whether nothing is in progress in either direction."""
+        return (
+            self._parser.idle
+            and not self._pending
+            and not self._inbox
+            and self._output.buffered_bytes == 0
+            and not self._closing
+        )
+
+    @property
+    def buffered_bytes(self):
+        """Bytes of output that are kept for retransmission."""
+        return self._output.buffered_bytes
+
+    def start(self):
+        """Start the connection's task."""
+        self._task = gevent.spawn(self._run)
+
+    def deliver(self, packet):
+        """Hand over a packet of the caller; never blocks.
+
+        Args:
+            packet: A Packet that carries this connection's stream id, or an
+                OPEN that was sent again.
+        """
+        if self.frozen or len(self._inbox) >= MAX_INBOX_PACKETS:
+            # Dropped: the caller's side sends it again.
+            return
+        self._inbox.append(packet)
+        self._wake.set()
+
+    def freeze(self):
+        """Stop reading and sending, and return the ConnectionState."""
+        self.frozen = True
+        self._inbox.clear()
+        return ConnectionState(
+            identity=self.identity,
+            input_offset=self._input.next_offset,
+            input_ended=self._input.ended,
+            unparsed=self._parser.unparsed(),
+            output=self._output.state(),
+            pending=tuple(self._pending),
+            closing=self._closing,
+        )
+
+    def resume(self):
+        """Go on after a freeze that did not lead to a handoff."""
+        self.frozen = False
+        self._wake.set()
+
+    def leave(self):
+        """End here without a word to the caller: another agent owns it."""
+        self._ended = True
+        self._wake.set()
+
+    def reset(self):
+        """Break the connection and tell the caller."""
+        self._send(packet_module.PacketKind.RESET, 0, b'')
+        self._cancel_pending()
+        self.leave()
+
+    def _run(self):
+        try:
+            while not self._ended:
+                self._wake.wait(self._seconds_to_next_deadline())
+                self._wake.clear()
+                if not self.frozen and not self._ended:
+                    self._step()
+        finally:
+            self._ended = True
+            self._on_end(self)
+
+    def _seconds_to_next_deadline(self):
+        if self.frozen:
+            return None
+        deadlines = (
+            self._output.retransmission_deadline_ms,
+            self._request_deadline_ms,
+            self._idle_deadline_ms,
+        )
+        next_ms = min(d for d in deadlines if d is not None)
+        return max(0, next_ms - self._clock.monotonic_ms()) / 1000
+
+    def _step(self):
+        while self._inbox and not self._ended:
+            self._process_packet(self._inbox.popleft())
+        self._write_answers()
+        if not self._output.resend_due():
+            self.reset()
+        self._check_timeouts()
+        if self._output.finished:
+            self._ended = True
+
+    def _process_packet(self, packet):
+        kind = packet.kind
+        now_ms = self._clock.monotonic_ms()
+        if kind == packet_module.PacketKind.OPEN:
+            self.send_opened()
+            return
+        self.confirmed = True
+        self._idle_deadline_ms = now_ms + self._limits.idle_timeout_ms
+        if kind == packet_module.PacketKind.RESET:
+            self._cancel_pending()
+            self._ended = True
+            return
+        self._output.on_ack(packet.ack)
+        if kind == packet_module.PacketKind.DATA:
+            self._process_data(packet)
+        elif kind == packet_module.PacketKind.CLOSE:
+            self._process_close(packet)
+
+    def _process_data(self, packet):
+        if self._has_room():
+            data = self._input.on_segment(packet.offset, packet.payload)
+            if data and not self._closing:
+                self._parse(data)
+        self._send(packet_module.PacketKind.ACK, self._output.end, b'')
+
+    def _has_room(self):
+        return (
+            len(self._pending) < self._limits.max_pipelined_count
+            and self._output.buffered_bytes < output_stream.BUFFER_BYTES
+        )
+
+    def _process_close(self, packet):
+        self._input.on_end(packet.offset)
+        self._send(packet_module.PacketKind.ACK, self._output.end, b'')
+        if self._input.ended:
+            self._closing = True
+
+    def _parse(self, data):
+        try:
+            requests = self._parser.feed(data)
+        except http_requests.HttpRequestError as error:
+            self._refuse_bytes(error)
+            return
+        for parsed in requests:
+            self._accept_request(parsed)
+        self._set_request_deadline()
+
+    def _set_request_deadline(self):
+        if self._parser.idle:
+            self._request_deadline_ms = None
+        elif self._request_deadline_ms is None:
+            now_ms = self._clock.monotonic_ms()
+            self._request_deadline_ms = (
+                now_ms + self._limits.request_timeout_ms
+            )
+
+    def _accept_request(self, parsed):
+        if self._closing:
+            return
+        pending = pending_request.PendingRequest(
+            self._make_request(parsed), parsed.http_version, parsed.keep_alive
+        )
+        if not parsed.keep_alive:
+            self._closing = True
+        self._pending.append(pending)
+        pending.start(self._runner, self._wake.set)
+
+    def _make_request(self, parsed):
+        headers = dict(parsed.headers)
+        timeout_ms = _parse_timeout(
+            headers.get(TIMEOUT_HEADER), self._limits.default_timeout_ms
+        )
+        key = headers.get(IDEMPOTENCY_HEADER, b'')[:MAX_KEY_BYTES]
+        return request_module.Request(
+            request_id=self._make_request_id(),
+            method=parsed.method,
+            target=parsed.target,
+            headers=parsed.headers,
+            body=parsed.body,
+            idempotency_key=key.decode('latin-1'),
+            deadline_ms=self._clock.monotonic_ms() + timeout_ms,
+        )
+
+    def _refuse_bytes(self, error):
+        self._closing = True
+        self._request_deadline_ms = None
+        self._refusal = answer_module.Answer(
+            error.status,
+            ((b'content-type', b'text/plain; charset=utf-8'),),
+            error.reason.encode() + b'\n',
+            answer_module.Outcome.NOT_RUN,
+        )
+
+    def _write_answers(self):
+        while self._pending and self._pending[0].result.ready():
+            self._write_answer(self._pending.popleft())
+        if self._pending or not self._closing:
+            return
+        if self._refusal is not None:
+            data = http_answers.format_answer(
+                self._refusal, 'GET', '1.1', keep_alive=False
+            )
+            self._refusal = None
+            self._output.write(data)
+        self._output.close()
+
+    def _write_answer(self, pending):
+        self._output.write(
+            http_answers.format_answer(
+                pending.result.get(),
+                pending.request.method,
+                pending.http_version,
+                pending.keep_alive,
+            )
+        )
+
+    def _check_timeouts(self):
+        now_ms = self._clock.monotonic_ms()
+        request_deadline_ms = self._request_deadline_ms
+        if request_deadline_ms is not None and now_ms >= request_deadline_ms:
+            self._refuse_bytes(
+                http_requests.HttpRequestError('request took too long', 408)
+            )
+            self._write_answers()
+        if now_ms < self._idle_deadline_ms:
+            return
+        if self._pending:
+            self._idle_deadline_ms = now_ms + self._limits.idle_timeout_ms
+        elif self.confirmed:
+            self.reset()
+        else:
+            # The caller's side chose another agent's answer to its OPEN.
+            self._ended = True
+
+    def _cancel_pending(self):
+        for pending in self._pending:
+            pending.cancel()
+
+    def send_opened(self):
+        """Tell the caller that the connection is open."""
+        self._send(packet_module.PacketKind.OPENED, 0, b'')
+
+    def _send_segment(self, offset, payload, is_end):
+        if self.frozen or self._ended:
+            return
+        kinds = packet_module.PacketKind
+        self._send(kinds.CLOSE if is_end else kinds.DATA, offset, payload)
+
+    def _send(self, kind, offset, payload):
+        identity = self.identity
+        self._send_packet(
+            packet_module.Packet(
+                int(kind),
+                identity.connection_id,
+                identity.stream_id,
+                offset,
+                self._input.next_offset,
+                payload,
+                identity.caller_address,
+                identity.service_address,
+                identity.return_address,
+            )
+        )
+
+
+def _parse_timeout(value, default_timeout_ms):
+    if value is None or not value.isdigit() or len(value) > 9:
+        return default_timeout_ms
+    return min(max(int(value), 1), MAX_TIMEOUT_MS)
+
+
+def request_counter(prefix):
+    """Return a function that returns a new request id on each call.
+
+    Args:
+        prefix: Text that is unique to the process and its start.
+    """
+    numbers = itertools.count(1)
+    return lambda: f'{prefix}-{next(numbers)}'
--- /dev/null
+++ b/packages/connections/src/kingcupport/connections/http_answers.py
@@ -0,0 +1,67 @@
+"""Formats HTTP/1.1 answers."""
+
+import http
+import itertools
+
+import h11
+
+# Set by this module or meaningful for one hop only (RFC 9110, 7.6.1).
+_DROPPED_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def format_answer(answer, method, http_version, keep_alive):
+    """Return the bytes of an answer on the caller's connection.
+
+    h11 decides the framing, so it is given a request head that is equal in
+    everything that matters for it. That makes the result independent of the
+    process that parsed the request.
+
+    Args:
+        answer: The Answer.
+        method: Method of the request; HEAD has no body.
+        http_version: ``1.0`` or ``1.1``.
+        keep_alive: Whether the connection stays open.
+    """
+    connection = h11.Connection(h11.SERVER)
+    close = '' if keep_alive else 'Connection: close\r\n'
+    connection.receive_data(
+        f'{method} / HTTP/{http_version}\r\nHost: -\r\n{close}\r\n'.encode()
+    )
+    while not isinstance(connection.next_event(), h11.EndOfMessage):
+        pass
+    events = (_response_head(answer), *_body(answer, method))
+    return b''.join(
+        data for event in events if (data := connection.send(event))
+    )
+
+
+def _response_head(answer):
+    try:
+        reason = http.HTTPStatus(answer.status).phrase
+    except ValueError:
+        reason = ''
+    kept = (
+        (name, value)
+        for name, value in answer.headers
+        if name.lower() not in _DROPPED_HEADERS
+    )
+    length = (b'Content-Length', str(len(answer.body)).encode())
+    return h11.Response(
+        status_code=answer.status,
+        headers=list(itertools.chain(kept, (length,))),
+        reason=reason.encode(),
+    )
+
+
+def _body(answer, method):
+    if method != 'HEAD' and answer.body:
+        yield h11.Data(data=answer.body)
+    yield h11.EndOfMessage()
--- /dev/null
+++ b/packages/connections/src/kingcupport/connections/http_requests.py
@@ -0,0 +1,151 @@
+"""Parses HTTP/1.1 requests from a connection's byte stream."""
+
+import attrs
+import h11
+
+from kingcupport.common import errors
+
+MAX_HEAD_BYTES = 16_384
+MAX_BODY_BYTES = 1024 * 1024
+
+
+class HttpRequestError(errors.KingcupportError):
+    """Bytes that are not an acceptable HTTP request.
+
+    Args:
+        reason: One line for the caller.
+        status: HTTP status of the refusal.
+    """
+
+    code = 'bad_http_request'
+
+    def __init__(self, reason, status):
+        super().__init__(reason, step='parse_request')
+        self.status = status
+
+
+@attrs.frozen
+class ParsedRequest:
+    """One whole HTTP request.
+
+    Args:
+        method: HTTP method in capitals.
+        target: Request target.
+        headers: Tuple of ``(name, value)`` byte pairs, names in lower case.
+        body: The whole body.
+        http_version: ``1.0`` or ``1.1``.
+        keep_alive: Whether the connection stays open after the answer.
+    """
+
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+    http_version: str
+    keep_alive: bool
+
+
+class RequestParser:
+    """Cuts a byte stream into requests, pipelined ones included.
+
+    h11 handles one request at a time, so each request gets its own h11
+    connection, which starts with the bytes that the one before left over.
+    An idle connection keeps none, to save memory.
+    """
+
+    def __init__(self):
+        self._http = None
+        self._events = []
+
+    @property
+    def idle(self):
+        """Whether no part of a request is pending."""
+        return self._http is None
+
+    def unparsed(self):
+        """Return the bytes of the incomplete request, to parse elsewhere."""
+        return bytes(self._pending) if self._http else b''
+
+    def feed(self, data):
+        """Parse bytes.
+
+        Args:
+            data: Bytes in stream order, not empty.
+
+        Returns:
+            A list of the ParsedRequest that are now complete.
+
+        Raises:
+            HttpRequestError: The bytes are no HTTP request, or it is too
+                large; the stream cannot be parsed any further.
+        """
+        complete = []
+        while data:
+            self._start_if_idle()
+            self._pending += data
+            self._http.receive_data(data)
+            request = self._next_request()
+            if request is None:
+                break
+            complete.append(request)
+            data = self._http.trailing_data[0]
+            self._http = None
+        return complete
+
+    def _start_if_idle(self):
+        if self._http is None:
+            self._http = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            )
+            self._events = []
+            self._pending = bytearray()
+
+    def _next_request(self):
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_size()
+                    return None
+                if isinstance(event, h11.EndOfMessage):
+                    return self._finish_request()
+                self._events.append(event)
+        except h11.RemoteProtocolError as error:
+            raise HttpRequestError(
+                str(error), error.error_status_hint
+            ) from None
+
+    def _check_size(self):
+        if len(self._pending) > MAX_HEAD_BYTES + MAX_BODY_BYTES:
+            raise HttpRequestError(
+                f'request exceeds {MAX_BODY_BYTES} bytes', 413
+            )
+
+    def _finish_request(self):
+        head, *chunks = self._events
+        if head.method == b'CONNECT':
+            raise HttpRequestError('CONNECT is not supported', 405)
+        body = b''.join(bytes(chunk.data) for chunk in chunks)
+        if len(body) > MAX_BODY_BYTES:
+            raise HttpRequestError(f'body exceeds {MAX_BODY_BYTES} bytes', 413)
+        headers = tuple(
+            (bytes(name), bytes(value)) for name, value in head.headers
+        )
+        return ParsedRequest(
+            method=head.method.decode('ascii').upper(),
+            target=head.target.decode('latin-1'),
+            headers=headers,
+            body=body,
+            http_version=head.http_version.decode('ascii'),
+            keep_alive=_keeps_alive(head),
+        )
+
+
+def _keeps_alive(head):
+    options = {
+        option.strip().lower()
+        for name, value in head.headers
+        if name == b'connection'
+        for option in value.split(b',')
+    }
+    return head.http_version != b'1.0' and b'close' not in options
--- a/packages/wire/src/kingcupport/wire/datagrams.py
+++ b/packages/wire/src/kingcupport/wire/datagrams.py
@@ -11,7 +11,6 @@
 import msgpack
 
 from kingcupport.wire import errors
-from kingcupport.wire import packet as packet_module
 
 DATAGRAM_VERSION = 1
 
@@ -33,14 +32,14 @@
         revision: Revision of the fleet that it was routed under.
         balancer_address: ``ip:port`` of the balancer, for location hints.
         tried: Names of the agents that have passed it on already.
-        packet: The Packet.
+        packet_data: Bytes of the packet as the fabric sent it.
     """
 
     service: str
     revision: int
     balancer_address: str
     tried: list
-    packet: packet_module.Packet
+    packet_data: bytes
 
 
 @attrs.define
@@ -129,10 +128,7 @@
         array = unpacker.unpack()
         code, values = _check_header(array)
         if code == DatagramCode.ENVELOPE:
-            packet = packet_module.packet_from_array(unpacker.unpack())
-            return Envelope(*values, packet)
-    except errors.WireError:
-        raise
+            return Envelope(*values, data[unpacker.tell() :])
     except (ValueError, msgpack.UnpackException, RecursionError) as error:
         raise _datagram_error(f'is not msgpack: {error}') from None
     if code == DatagramCode.LOCATION_HINT:
--- a/packages/wire/src/kingcupport/wire/packet.py
+++ b/packages/wire/src/kingcupport/wire/packet.py
@@ -8,7 +8,6 @@
 from kingcupport.wire import errors
 
 PACKET_VERSION = 1
-MAX_DATAGRAM_BYTES = 60_000
 MAX_PAYLOAD_BYTES = 16_384
 
 
