--- a/packages/observability/src/kingcupport/observability/audit_trail.py
+++ b/packages/observability/src/kingcupport/observability/audit_trail.py
@@ -3,10 +3,14 @@
 import collections
 import logging
 
+import pythonjsonlogger.core
+
 LOG = logging.getLogger(__name__)
 
 DEFAULT_CAPACITY = 1024
 
+_RESERVED_KEYS = frozenset(pythonjsonlogger.core.RESERVED_ATTRS)
+
 
 class AuditTrail:
     """Keeps the latest audit events in memory and logs each one.
@@ -36,8 +40,16 @@
         }
         self._next_sequence += 1
         self._events.append(event)
-        LOG.info('audit', extra={'audit_kind': kind, **fields})
+        LOG.info('audit', extra={'audit_kind': kind, **_log_fields(fields)})
 
     def events(self, after_sequence=0):
         """Return the events after a sequence number, oldest first."""
         return [e for e in self._events if e['sequence'] > after_sequence]
+
+
+def _log_fields(fields):
+    # logging raises KeyError when extra has a key such as "name" or "module".
+    return {
+        f'audit_{key}' if key in _RESERVED_KEYS else key: value
+        for key, value in fields.items()
+    }
--- /dev/null
+++ b/packages/observability/src/kingcupport/observability/log.py
@@ -0,0 +1,113 @@
+"""Log of one line an event on standard error, as key=value pairs or JSON."""
+
+import json
+import logging
+import re
+import sys
+
+import gevent
+import pythonjsonlogger.core
+import pythonjsonlogger.json
+
+from kingcupport.common import errors
+from kingcupport.observability import log_settings
+
+LOG = logging.getLogger(__name__)
+
+_FIELDS = ('levelname', 'name', 'message')
+_RENAMED = {'levelname': 'level', 'name': 'logger', 'message': 'event'}
+_NEEDS_QUOTES = re.compile(r'[\s"=\\]')
+
+
+def configure_logging(settings=None, stream=None):
+    """Send all events to one stream, one line each.
+
+    Fields of a call's ``extra`` become keys. A KingcupportError given as
+    ``extra={'error': error}`` or as ``exc_info`` adds ``code``, ``reason``,
+    ``step`` and ``peer``. Errors that end a gevent task and Python warnings
+    are logged the same way.
+
+    Args:
+        settings: A LogSettings; level info and key=value by default.
+        stream: Where lines go; standard error by default.
+    """
+    settings = settings or log_settings.LogSettings()
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_make_formatter(settings.format))
+    root = logging.getLogger()
+    for previous in root.handlers[:]:
+        root.removeHandler(previous)
+    root.addHandler(handler)
+    root.setLevel(settings.level.upper())
+    logging.captureWarnings(True)
+    gevent.get_hub().print_exception = _log_task_error
+
+
+def _make_formatter(form):
+    formatter_class = _JsonFormatter if form == 'json' else _KeyValueFormatter
+    return formatter_class(_FIELDS, rename_fields=_RENAMED, timestamp='time')
+
+
+def _log_task_error(context, error_type, error, traceback):
+    LOG.error(
+        'task failed',
+        extra={'task': repr(context)},
+        exc_info=(error_type, error, traceback),
+    )
+
+
+class _ErrorFields:
+    """Adds code, reason, step and peer of a KingcupportError."""
+
+    def add_fields(self, log_data, record, message_dict):
+        super().add_fields(log_data, record, message_dict)
+        time = log_data.pop('time')
+        # The time comes first, so that lines can be sorted as text.
+        fields = {'time': time.isoformat(timespec='milliseconds'), **log_data}
+        log_data.clear()
+        log_data.update(fields)
+        error = _find_error(record)
+        if isinstance(error, errors.KingcupportError):
+            log_data.pop('error', None)
+            log_data.update(_describe_error(error))
+
+
+def _find_error(record):
+    if 'error' in record.__dict__:
+        return record.error
+    return record.exc_info[1] if record.exc_info else None
+
+
+def _describe_error(error):
+    fields = {'code': error.code, 'reason': error.reason, 'step': error.step}
+    if error.peer is not None:
+        fields['peer'] = str(error.peer)
+    return fields
+
+
+class _JsonFormatter(_ErrorFields, pythonjsonlogger.json.JsonFormatter):
+    """One JSON object a line."""
+
+
+class _KeyValueFormatter(
+    _ErrorFields, pythonjsonlogger.core.BaseJsonFormatter
+):
+    """Space-separated key=value pairs; values are quoted when needed."""
+
+    def jsonify_log_record(self, log_data):
+        return ' '.join(
+            f'{key}={_format_value(value)}' for key, value in log_data.items()
+        )
+
+
+def _format_value(value):
+    if isinstance(value, str):
+        text = value
+    elif isinstance(value, (dict, list, tuple, bool)) or value is None:
+        text = json.dumps(value, default=str, separators=(',', ':'))
+    else:
+        text = str(value)
+    if text and text.isprintable() and not _NEEDS_QUOTES.search(text):
+        return text
+    # Control and line separator characters must not start a new line.
+    return json.dumps(text, ensure_ascii=not text.isprintable())
--- /dev/null
+++ b/packages/observability/src/kingcupport/observability/metrics.py
@@ -0,0 +1,109 @@
+"""Counters and gauges of a process in the Prometheus text format."""
+
+import aioprometheus
+
+_PREFIX = 'kingcupport'
+_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
+
+class Metrics:
+    """The metrics of one process.
+
+    Metrics are declared once and then changed by their short name. A path
+    that runs thousands of times a second keeps its own integer and copies it
+    with ``set_total`` in a ``before_render`` callback, because one ``count``
+    costs an encoding of the labels.
+
+    Args:
+        prefix: Start of each metric's name, followed by an underscore.
+    """
+
+    def __init__(self, prefix):
+        self._prefix = prefix
+        self._registry = aioprometheus.Registry()
+        self._collectors = {}
+        self._callbacks = []
+
+    def add_counter(self, name, description):
+        """Declare a counter.
+
+        Args:
+            name: Short name, by convention with the suffix ``_total``.
+            description: One line for the reader of the metrics.
+        """
+        self._add(aioprometheus.Counter, name, description)
+
+    def add_gauge(self, name, description):
+        """Declare a gauge.
+
+        Args:
+            name: Short name with its unit as a suffix.
+            description: One line for the reader of the metrics.
+        """
+        self._add(aioprometheus.Gauge, name, description)
+
+    def _add(self, collector_class, name, description):
+        self._collectors[name] = collector_class(
+            f'{self._prefix}_{name}', description, registry=self._registry
+        )
+
+    def count(self, name, amount=1, /, **labels):
+        """Increase a counter.
+
+        Args:
+            name: Short name of a declared counter.
+            amount: Not negative.
+            **labels: Label values by label name.
+        """
+        self._collectors[name].add(_escape(labels), amount)
+
+    def set_total(self, name, value, /, **labels):
+        """Set a counter to a total that is kept elsewhere."""
+        collector = self._collectors[name]
+        if not isinstance(collector, aioprometheus.Counter):
+            raise TypeError(f'{name} is not a counter')
+        collector.set(_escape(labels), value)
+
+    def set_gauge(self, name, value, /, **labels):
+        """Set a gauge."""
+        collector = self._collectors[name]
+        if not isinstance(collector, aioprometheus.Gauge):
+            raise TypeError(f'{name} is not a gauge')
+        collector.set(_escape(labels), value)
+
+    def value(self, name, /, **labels):
+        """Return the value of a metric; 0 when it was never changed."""
+        try:
+            return self._collectors[name].get_value(_escape(labels))
+        except KeyError:
+            if name not in self._collectors:
+                raise
+            return 0
+
+    def before_render(self, callback):
+        """Call a function without arguments before each rendering."""
+        self._callbacks.append(callback)
+
+    def render(self):
+        """Return all metrics in the Prometheus text format, as bytes."""
+        for callback in self._callbacks:
+            callback()
+        content, _headers = aioprometheus.render(self._registry, ())
+        return content
+
+
+def _escape(labels):
+    # aioprometheus writes label values as they are.
+    return {
+        key: str(value).translate(_ESCAPES) for key, value in labels.items()
+    }
+
+
+def make_metrics(program):
+    """Return the metrics of a program.
+
+    Args:
+        program: ``balancer`` or ``agent``; names start with
+            ``kingcupport_<program>_``.
+    """
+    return Metrics(f'{_PREFIX}_{program}')
--- /dev/null
+++ b/tests/observability/test_log.py
@@ -0,0 +1,128 @@
+"""Guards against log lines that tools cannot split or that lack a cause."""
+
+import io
+import json
+import logging
+
+import gevent
+import pytest
+
+from kingcupport.common import errors
+from kingcupport.observability import log
+from kingcupport.observability import log_settings
+
+LOG = logging.getLogger('kingcupport.test')
+
+
+class _SampleError(errors.KingcupportError):
+    code = 'sample'
+
+
+@pytest.fixture
+def stream():
+    root = logging.getLogger()
+    hub = gevent.get_hub()
+    previous = (root.handlers[:], root.level, hub.print_exception)
+    yield io.StringIO()
+    root.handlers[:], level, hub.print_exception = previous
+    root.setLevel(level)
+    logging.captureWarnings(False)
+
+
+def _lines(stream):
+    return stream.getvalue().splitlines()
+
+
+def test_extra_fields_become_keys(stream):
+    log.configure_logging(stream=stream)
+    LOG.info('note accepted', extra={'revision': 7, 'origin': 'service'})
+    (line,) = _lines(stream)
+    assert line.startswith('time=20')
+    assert line.endswith(
+        ' level=INFO logger=kingcupport.test event="note accepted" '
+        'revision=7 origin=service'
+    )
+
+
+@pytest.mark.parametrize(
+    ('value', 'written'),
+    [
+        ('plain', 'plain'),
+        ('', '""'),
+        ('a b', '"a b"'),
+        ('a=b', '"a=b"'),
+        ('say "x"', r'"say \"x\""'),
+        ('two\nlines', r'"two\nlines"'),
+        ('line\u2028separator', r'"line\u2028separator"'),
+        ('Thiès', 'Thiès'),
+        (None, 'null'),
+        (True, 'true'),
+        (1.5, '1.5'),
+        (['a', 1], r'"[\"a\",1]"'),
+    ],
+)
+def test_values_are_quoted_when_needed(stream, value, written):
+    log.configure_logging(stream=stream)
+    LOG.info('event', extra={'key': value})
+    assert stream.getvalue().endswith(f' key={written}\n')
+    assert len(_lines(stream)) == 1
+
+
+def test_errors_add_code_step_and_peer(stream):
+    log.configure_logging(stream=stream)
+    error = _SampleError('no reply', step='ask_peer', peer='agent-3')
+    LOG.warning('peer failed', extra={'error': error})
+    assert stream.getvalue().endswith(
+        ' code=sample reason="no reply" step=ask_peer peer=agent-3\n'
+    )
+
+
+def test_traceback_stays_on_one_line(stream):
+    log.configure_logging(stream=stream)
+    try:
+        raise _SampleError('no reply', step='ask_peer')
+    except _SampleError:
+        LOG.exception('failed')
+    (line,) = _lines(stream)
+    assert 'Traceback' in line
+    assert ' code=sample' in line
+
+
+def test_error_of_a_task_is_one_line(stream):
+    log.configure_logging(stream=stream)
+
+    def fail():
+        raise ValueError('bad\nvalue')
+
+    gevent.spawn(fail).join()
+    (line,) = _lines(stream)
+    assert 'level=ERROR' in line
+    assert 'event="task failed"' in line
+    assert 'ValueError' in line
+
+
+def test_json(stream):
+    settings = log_settings.LogSettings(format='json')
+    log.configure_logging(settings, stream)
+    error = _SampleError('no reply', step='ask_peer', peer='agent-3')
+    LOG.info('event', extra={'revision': 7, 'error': error})
+    fields = json.loads(stream.getvalue())
+    fields.pop('time')
+    assert fields == {
+        'level': 'INFO',
+        'logger': 'kingcupport.test',
+        'event': 'event',
+        'revision': 7,
+        'code': 'sample',
+        'reason': 'no reply',
+        'step': 'ask_peer',
+        'peer': 'agent-3',
+    }
+
+
+def test_level(stream):
+    log.configure_logging(log_settings.LogSettings(level='warning'), stream)
+    LOG.info('too detailed')
+    LOG.warning('written')
+    (line,) = _lines(stream)
+    assert 'event=written' in line
