Add at-most-once execution of keyed requests

Cause: a booking or renewal that is retried under its Idempotency-Key must run at most once, on whichever agent the retry arrives. Ruled out: waiting inside the handlers of the peer server, which has one task a connection, so the holder of a key is polled; running the request in the task of the caller's connection, because a caller that lost its connection retries under the same key and needs the answer. Behaviour with faults is not yet tested. Conclusion: the agent can be wired with make_keyed_request_runner.

--- /dev/null
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -0,0 +1,411 @@
+"""Which keys an agent may grant, and how its index becomes complete."""
+
+import logging
+import math
+
+import gevent
+
+from kingcupport.control import peer_caller
+from kingcupport.requests import claim_index
+from kingcupport.requests import claim_instance_list
+from kingcupport.requests import claim_losses
+from kingcupport.requests import claim_placement
+from kingcupport.requests import claim_record
+from kingcupport.wire import claim_messages
+
+LOG = logging.getLogger(__name__)
+
+STEP_INTERVAL_MS = 100
+INSTANCE_CHECK_INTERVAL_MS = 1000
+ASK_TIMEOUT_MS = 500
+# Views kept since the index was last complete. With more, the agent asks its
+# peers before it grants anything.
+MAX_OWNED_VIEWS = 16
+
+
+class ClaimRebuild:
+    """View of the service's hosts and completeness of the claim index.
+
+    A claim is made by two processes that both take the same host for the
+    key's agent: the key's agent and the holder, or the key's agent and the
+    one that keeps a copy. A view is complete at an agent when all hosts of
+    the previous and the present view have answered under exactly that view.
+    Views never go back, so an answered process makes no claim under an
+    earlier one. At most one host may be missing unless the instance list
+    says that it is gone; alone it finds no second process for a claim.
+
+    ``epoch`` changes whenever a peer was answered or the view changed. A
+    grant that was asked for in an earlier epoch is void.
+
+    Args:
+        context: ClaimContext.
+        index: ClaimIndex.
+        first_observed_revision: Revision that the process first observed.
+    """
+
+    def __init__(self, context, index, first_observed_revision):
+        self._context = context
+        self._index = index
+        self._started_ms = context.now_ms()
+        self._generations = {}
+        self._incarnations = {}
+        self._farewells = set()
+        self._losses = claim_losses.ClaimLosses(context.clock)
+        self._known_gone = set()
+        self._previous = set()
+        self._required = set()
+        self._confirmed = set()
+        self._owned_views = None
+        self._complete_from_ms = None
+        self._next_instance_check_ms = 0
+        self._compared = None
+        self.participating = False
+        self.draining = False
+        self.epoch = 0
+        members = claim_placement.members_of(
+            context.keeper.fleet, context.service
+        )
+        self.view = claim_placement.make_claim_view(members, {})
+        self._required = set(self.view.active) - {context.name}
+        added_revision = dict(members).get(context.name, math.inf)
+        if first_observed_revision >= added_revision:
+            self._losses.own_ms = self._started_ms + context.retention_ms
+        context.keeper.on_accept(self._on_accept)
+
+    @property
+    def paused(self):
+        """Whether a pause was noticed and no peers were compared since."""
+        return self._compared is not None
+
+    @property
+    def active(self):
+        """Whether this agent counts among the hosts of its own view."""
+        return self._context.name in self.view.active
+
+    @property
+    def complete(self):
+        """Whether the index holds every claim of this agent's keys."""
+        if self._complete_from_ms is None:
+            return False
+        if self._context.now_ms() < self._complete_from_ms:
+            return False
+        if self._owned_views != [self.view.active]:
+            self._owned_views = [self.view.active]
+            self._losses.own_ms = 0
+        return True
+
+    def key_agent(self, key):
+        """Return the name of a key's agent, or None without hosts."""
+        return claim_placement.find_key_agent(key, self.view.active)
+
+    def may_take_part(self):
+        """Whether this agent may hold claims or keep copies."""
+        return (
+            self.participating
+            and self.active
+            and not self.paused
+            and not self.draining
+        )
+
+    def may_grant(self, key):
+        """Whether this agent may grant a claim on a key now.
+
+        Keys that were this agent's in every view since its index was last
+        complete need no new answers.
+        """
+        name = self._context.name
+        if not self.may_take_part() or self.key_agent(key) != name:
+            return False
+        if self.complete:
+            return True
+        return self._owned_views is not None and all(
+            claim_placement.find_key_agent(key, active) == name
+            for active in self._owned_views
+        )
+
+    def on_pause(self, late_ms):
+        """Block claims until the view was compared with the peers."""
+        LOG.warning('claim_pause', extra={'late_ms': round(late_ms)})
+        self._compared = set()
+        self.epoch += 1
+
+    def run(self):
+        """Ask peers whenever something is missing; to be spawned."""
+        clock = self._context.clock
+        while True:
+            self.step()
+            clock.sleep_until(clock.monotonic_ms() + STEP_INTERVAL_MS)
+
+    def step(self):
+        """Check the instance list and ask those whose answer is missing."""
+        self._fence_gone_hosts()
+        if not self.active or self.draining:
+            return
+        missing = self._required - self._confirmed
+        if self.paused:
+            missing = set(self.view.active) - {self._context.name}
+        if self._complete_from_ms is None or self.paused:
+            tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
+            try:
+                gevent.joinall(tasks)
+            finally:
+                gevent.killall(tasks, block=False)
+            self._evaluate()
+
+    def learn_fences(self, fences):
+        """Take over higher fence generations from a peer."""
+        known = self._generations
+        newer = {
+            name: generation
+            for name, generation in fences.items()
+            if isinstance(generation, int) and generation > known.get(name, 0)
+        }
+        if not newer:
+            return
+        known.update(newer)
+        self._rejoin_when_fenced()
+        rejoined = {name for name, g in newer.items() if g % 2 == 0}
+        self._farewells -= rejoined
+        deadline_ms = self._context.now_ms() + self._context.retention_ms
+        for name in rejoined:
+            self._losses.note_return(name, deadline_ms)
+        self._change_view(self.view.members)
+
+    def answer_list(self, message):
+        """Return the ClaimListReply for a peer's ClaimListRequest."""
+        context = self._context
+        self.learn_fences(message.fences)
+        self.epoch += 1
+        known = self._note_incarnation(message.sender, message.incarnation)
+        asked_view = claim_placement.make_claim_view(
+            map(tuple, message.members), self._generations
+        )
+        records, more = self._index.concerning(
+            message.sender, asked_view.active, message.after_key
+        )
+        now_ms = context.now_ms()
+        return claim_messages.ClaimListReply(
+            sender=context.name,
+            revision=context.revision,
+            incarnation=context.incarnation,
+            members=[list(member) for member in self.view.members],
+            fences=dict(self._generations),
+            claims=[claim_record.record_to_plain(r, now_ms) for r in records],
+            more=more,
+            complete=self._complete_from_ms is not None,
+            loss_ms=_remaining_ms(self._losses.own_ms, now_ms),
+            blind_ms=_remaining_ms(self._complete_from_ms or 0, now_ms),
+            losses=self._losses.remaining(),
+            unconfirmed=sorted(self._unconfirmed()),
+            known_incarnation=known,
+        )
+
+    def fences(self):
+        """Return the known fence generation by host name."""
+        return dict(self._generations)
+
+    def begin_farewell(self):
+        """Fence this agent itself; it grants and claims nothing from now."""
+        self.draining = True
+        generation = self._generations.get(self._context.name, 0)
+        if generation % 2 == 0:
+            self._generations[self._context.name] = generation + 1
+        self._change_view(self.view.members)
+        return dict(self._generations)
+
+    def on_farewell(self, sender, fences):
+        """Note that an agent left after it handed over its records."""
+        self._farewells.add(sender)
+        self.learn_fences(fences)
+        self._farewells.add(sender)
+        self._evaluate()
+
+    def _note_incarnation(self, peer, incarnation):
+        """Return an earlier incarnation of a peer, or the present one."""
+        earlier, present = self._incarnations.get(
+            peer, (incarnation, incarnation)
+        )
+        if present != incarnation:
+            earlier = present
+        self._incarnations[peer] = (earlier, incarnation)
+        return earlier
+
+    def _unconfirmed(self):
+        if self._complete_from_ms is not None:
+            return set()
+        return self._required - self._confirmed - self._farewells
+
+    def _rejoin_when_fenced(self):
+        name = self._context.name
+        generation = self._generations.get(name, 0)
+        if generation % 2 and not self.draining:
+            self._owned_views = None
+            self._generations[name] = generation + 1
+
+    def _on_accept(self, previous_fleet, fleet):
+        members = claim_placement.members_of(fleet, self._context.service)
+        if set(members) != set(self.view.members):
+            self._change_view(members)
+
+    def _change_view(self, members):
+        view = claim_placement.make_claim_view(members, self._generations)
+        if view == self.view:
+            return
+        earlier = set(self.view.active)
+        if self._complete_from_ms is None:
+            earlier |= self._previous | self._required
+        self.view = view
+        self.epoch += 1
+        self._previous = earlier
+        self._required = (earlier | set(self.view.active)) - {
+            self._context.name
+        }
+        self._confirmed = set()
+        self._complete_from_ms = None
+        if not self.active:
+            self._owned_views = None
+        elif self._owned_views is not None:
+            self._owned_views.append(self.view.active)
+            if len(self._owned_views) > MAX_OWNED_VIEWS:
+                self._owned_views = None
+
+    def _fence_gone_hosts(self):
+        now_ms = self._context.now_ms()
+        if now_ms < self._next_instance_check_ms:
+            return
+        self._next_instance_check_ms = now_ms + INSTANCE_CHECK_INTERVAL_MS
+        if not self.active or self.draining:
+            return
+        states = self._context.instance_list.states()
+        if states.get(self._context.name) == claim_instance_list.GONE:
+            return
+        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
+        # A host that rejoined while the list still calls it gone is alive.
+        fresh = (gone - self._known_gone) & set(self.view.active)
+        self._known_gone = gone
+        if fresh:
+            LOG.warning(
+                'claim_fence', extra={'hosts': ','.join(sorted(fresh))}
+            )
+            self.learn_fences(
+                {n: self._generations.get(n, 0) + 1 for n in fresh}
+            )
+
+    def _ask(self, peer):
+        context = self._context
+        epoch_view = self.view
+        after_key = ''
+        while True:
+            request = claim_messages.ClaimListRequest(
+                sender=context.name,
+                revision=context.revision,
+                incarnation=context.incarnation,
+                members=[list(member) for member in epoch_view.members],
+                fences=dict(self._generations),
+                after_key=after_key,
+            )
+            deadline_ms = context.now_ms() + ASK_TIMEOUT_MS
+            try:
+                reply = context.caller.call(peer, request, deadline_ms)
+                self._merge_claims(reply.claims)
+            except peer_caller.PeerError:
+                return
+            except claim_index.ClaimIndexFullError as error:
+                LOG.error('claim_rebuild', extra={'reason': str(error)})
+                return
+            self.learn_fences(reply.fences)
+            if self.view != epoch_view:
+                return
+            if not reply.more:
+                self._take_answer(peer, reply)
+                return
+            after_key = reply.claims[-1][0]
+
+    def _merge_claims(self, claims):
+        now_ms = self._context.now_ms()
+        for plain in claims:
+            self._index.merge(claim_record.record_from_plain(plain, now_ms))
+
+    def _take_answer(self, peer, reply):
+        if reply.known_incarnation != self._context.incarnation:
+            self._note_restart()
+        answered_view = claim_placement.make_claim_view(
+            map(tuple, reply.members), reply.fences
+        )
+        if answered_view != self.view:
+            return
+        if self._lacks_copies(peer, reply):
+            return
+        self._note_incarnation(peer, reply.incarnation)
+        self._confirmed.add(peer)
+        self._losses.note_answer(peer, reply.loss_ms, reply.blind_ms)
+        known = self._confirmed | {self._context.name}
+        self._losses.note_others(
+            {n: ms for n, ms in reply.losses.items() if n not in known}
+        )
+        self._required |= set(reply.unconfirmed) - {self._context.name}
+        if self.paused:
+            self._compared.add(peer)
+
+    def _lacks_copies(self, peer, reply):
+        """Whether a new host may not yet know claims that were lost here."""
+        return (
+            self._losses.own_ms > 0
+            and peer in self.view.names
+            and not reply.complete
+            and not reply.loss_ms
+        )
+
+    def _note_restart(self):
+        """Note that this process runs on an outdated fleet after a restart."""
+        if not self._losses.own_ms and not self.participating:
+            self._losses.own_ms = self._started_ms + self._context.retention_ms
+            self._confirmed = set()
+
+    def _evaluate(self):
+        self._end_pause()
+        if self._complete_from_ms is not None or not self.active:
+            return
+        if not self._all_answered():
+            return
+        if len(self.view.names) > 1 and len(self.view.active) < 2:
+            return
+        self.participating = True
+        # Claims of a host that was alone had no second copy.
+        single_copies = len(self._previous or self.view.active) == 1
+        self._complete_from_ms = self._losses.blind_until_ms(single_copies)
+
+    def _all_answered(self):
+        states = self._context.instance_list.states()
+        absent = set(self.view.names) - set(self.view.active)
+        missing = self._required - self._confirmed - self._farewells
+        lost = {
+            name
+            for name in missing
+            if name in absent or states.get(name) == claim_instance_list.GONE
+        }
+        open_hosts = missing - lost
+        if open_hosts:
+            may_be_excused = (
+                len(missing) == 1
+                and len(self._previous) > 1
+                and not open_hosts & set(self.view.names)
+            )
+            if not may_be_excused:
+                return False
+        deadline_ms = self._context.now_ms() + self._context.retention_ms
+        for name in missing:
+            self._losses.note_gone(name, deadline_ms)
+        return True
+
+    def _end_pause(self):
+        if not self.paused:
+            return
+        others = len(self.view.active) - 1
+        if len(self._compared) * 2 >= others:
+            LOG.info('claim_pause_over', extra={'peers': len(self._compared)})
+            self._compared = None
+
+
+def _remaining_ms(deadline_ms, now_ms):
+    return max(0, round(deadline_ms - now_ms))
--- /dev/null
+++ b/packages/requests/src/kingcupport/requests/claim_record.py
@@ -0,0 +1,65 @@
+"""One claim: which attempt at which agent holds a key."""
+
+import hashlib
+
+import attrs
+
+FINGERPRINT_BYTES = 16
+
+
+@attrs.frozen
+class ClaimRecord:
+    """A claim as one process knows it.
+
+    Args:
+        key: The ``Idempotency-Key``.
+        fingerprint: Digest of method, target and body.
+        attempt: Unique text of the attempt.
+        holder: Name of the agent that runs or ran the attempt.
+        holder_incarnation: Random number of the holder's process.
+        version: Raised when another agent becomes the holder.
+        expires_ms: Retention deadline on this process's monotonic clock.
+    """
+
+    key: str
+    fingerprint: bytes
+    attempt: str
+    holder: str
+    holder_incarnation: int
+    version: int
+    expires_ms: float
+
+
+def record_to_plain(record, now_ms):
+    """Return a ClaimRecord as the array that peer messages carry."""
+    remaining_ms = max(0, round(record.expires_ms - now_ms))
+    return [
+        record.key,
+        record.fingerprint,
+        record.attempt,
+        record.holder,
+        record.holder_incarnation,
+        record.version,
+        remaining_ms,
+    ]
+
+
+def record_from_plain(plain, now_ms):
+    """Build a ClaimRecord from a peer message's array.
+
+    Raises:
+        ValueError: The array has another shape.
+    """
+    types = (str, bytes, str, str, int, int, int)
+    if len(plain) != len(types) or not all(map(isinstance, plain, types)):
+        raise ValueError('is not a claim')
+    return ClaimRecord(*plain[:-1], now_ms + plain[-1])
+
+
+def fingerprint_of(request):
+    """Return the digest that tells requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.method.encode(), request.target.encode()):
+        digest.update(len(part).to_bytes(4, 'big') + part)
+    digest.update(request.body)
+    return digest.digest()
--- /dev/null
+++ b/packages/requests/src/kingcupport/requests/keyed_runner.py
@@ -0,0 +1,362 @@
+"""At-most-once execution of requests that carry an idempotency key."""
+
+import itertools
+
+import gevent
+
+from kingcupport.control import peer_caller
+from kingcupport.requests import answer as answer_module
+from kingcupport.requests import claim_client
+from kingcupport.requests import claim_context
+from kingcupport.requests import claim_handlers
+from kingcupport.requests import claim_handover
+from kingcupport.requests import claim_heartbeat
+from kingcupport.requests import claim_index
+from kingcupport.requests import claim_rebuild
+from kingcupport.requests import claim_record
+from kingcupport.requests import keyed_results
+from kingcupport.requests import request_runner
+from kingcupport.wire import claim_messages
+
+MAX_KEY_BYTES = 255
+RESULT_CALL_TIMEOUT_MS = 1000
+# The holder is polled, because handlers of the peer server must not block.
+FIRST_POLL_WAIT_MS = 5
+MAX_POLL_WAIT_MS = 100
+# Calls in a row without a reply after which a holder counts as unreachable.
+MAX_HOLDER_FAILURES = 3
+
+_Outcome = answer_module.Outcome
+_State = keyed_results.HeldState
+
+
+class KeyedRequestRunner(request_runner.RequestRunner):
+    """Claims each keyed request before the next runner runs it.
+
+    The program registers ``handlers`` with its peer server, calls ``start``
+    once peers can be reached, and ``drain`` before it exits.
+
+    Args:
+        next_runner: RequestRunner that runs claimed and unclaimed requests.
+        context: ClaimContext.
+        index: ClaimIndex.
+        results: KeyedResults.
+        rebuild: ClaimRebuild.
+        detector: PauseDetector.
+    """
+
+    def __init__(
+        self, next_runner, context, index, results, rebuild, detector
+    ):
+        self._next_runner = next_runner
+        self._context = context
+        self._index = index
+        self._results = results
+        self._rebuild = rebuild
+        self._detector = detector
+        self._handover = claim_handover.ClaimHandover(
+            context, index, results, rebuild
+        )
+        self._handlers = claim_handlers.ClaimHandlers(
+            context, index, results, rebuild, detector, self._handover
+        )
+        self._client = claim_client.ClaimClient(
+            context, index, rebuild, detector, self._handlers.grant
+        )
+        self._counter = itertools.count()
+        self._closing = False
+        self._tasks = []
+        self._runs = set()
+
+    @property
+    def handlers(self):
+        """``{message class: handler(message, peer) -> reply}``."""
+        return self._handlers.handlers()
+
+    @property
+    def ready(self):
+        """Whether this agent can claim and grant all of its keys."""
+        return self._rebuild.may_take_part() and self._rebuild.complete
+
+    def figures(self):
+        """Return integer gauges by name."""
+        return {
+            'claims': len(self._index),
+            'kept_result_bytes': self._results.used_bytes,
+            'keyed_running': len(self._runs),
+            'claims_complete': int(self.ready),
+        }
+
+    def may_run(self):
+        """Whether claimed work may start now; False after a pause.
+
+        The next runner asks this before it starts claimed work that it had
+        queued.
+        """
+        self._detector.check()
+        return not self._rebuild.paused
+
+    def start(self):
+        """Spawn the heartbeat task and the task that asks peers."""
+        self._tasks = [
+            gevent.spawn(self._detector.run),
+            gevent.spawn(self._rebuild.run),
+        ]
+
+    def stop(self):
+        """End all tasks at once, also those that run requests."""
+        gevent.killall([*self._tasks, *self._runs], block=False)
+
+    def drain(self, deadline_ms):
+        """Let running requests finish and hand all records over.
+
+        Args:
+            deadline_ms: Point after which this returns in any case.
+
+        Returns:
+            Names of the peers that did not get the records.
+        """
+        self._closing = True
+        clock = self._context.clock
+        while self._undecided() and clock.monotonic_ms() < deadline_ms:
+            clock.sleep_until(clock.monotonic_ms() + MAX_POLL_WAIT_MS)
+        return self._handover.send_all(deadline_ms)
+
+    def submit(self, request):
+        """Run a request, at most once if it carries a key.
+
+        Args:
+            request: The Request.
+
+        Returns:
+            The Answer. Refusals with status 422 (other request under the
+            same key) and 400 (key too long) concern this request only.
+        """
+        if not request.claimed:
+            return self._next_runner.submit(request)
+        if len(request.idempotency_key.encode()) > MAX_KEY_BYTES:
+            return _reject(400, f'the key exceeds {MAX_KEY_BYTES} bytes')
+        fingerprint = claim_record.fingerprint_of(request)
+        answer = None
+        while answer is None:
+            held = self._results.get(request.idempotency_key)
+            if held is not None:
+                answer = self._follow(held, request, fingerprint)
+            elif self._closing:
+                answer = _unknown('this agent is draining')
+            elif self._context.now_ms() >= request.deadline_ms:
+                answer = _unknown('the deadline passed during the claim')
+            else:
+                answer = self._attempt(request, fingerprint)
+        return answer
+
+    def _undecided(self):
+        return [h for h in self._results.held() if not h.decided.is_set()]
+
+    def _follow(self, held, request, fingerprint):
+        """Return the answer of an attempt here, or None if it was released."""
+        claiming = held.state == _State.CLAIMING
+        if not claiming and held.fingerprint != fingerprint:
+            return _reject_other_request()
+        self._wait_decided(held, request.deadline_ms)
+        if held.state == _State.RELEASED:
+            return None
+        if held.state != _State.CLAIMING and held.fingerprint != fingerprint:
+            return _reject_other_request()
+        if held.state == _State.ANSWERED:
+            return held.answer
+        if held.state == _State.UNKNOWN:
+            return _unknown('an earlier attempt may have run')
+        return _unknown('an earlier attempt is still running')
+
+    def _wait_decided(self, held, deadline_ms):
+        if held.decided.is_set():
+            return
+        timer = gevent.spawn(self._context.clock.sleep_until, deadline_ms)
+        try:
+            gevent.wait([held.decided, timer], count=1)
+        finally:
+            timer.kill(block=False)
+
+    def _attempt(self, request, fingerprint):
+        """Claim and run; None when the key has to be looked at again."""
+        key = request.idempotency_key
+        incarnation = self._context.incarnation
+        attempt = f'{self._context.name}:{incarnation}:{next(self._counter)}'
+        held = self._results.begin(key, fingerprint, attempt)
+        try:
+            claim = self._client.obtain(
+                key, fingerprint, attempt, request.deadline_ms
+            )
+            started = self._start(claim, held)
+        except BaseException:
+            self._give_up(held)
+            raise
+        if started:
+            return self._run(request, held)
+        if isinstance(claim, claim_client.Granted):
+            self._give_up(held)
+            return answer_module.make_refusal(
+                _Outcome.NOT_RUN, 'no room for another kept answer'
+            )
+        self._results.release(held)
+        if isinstance(claim, claim_client.Refused):
+            return answer_module.make_refusal(claim.outcome, claim.reason)
+        return self._fetch(claim.record, request, fingerprint)
+
+    def _start(self, claim, held):
+        granted = isinstance(claim, claim_client.Granted)
+        return granted and self._results.start(held)
+
+    def _give_up(self, held):
+        self._results.release(held)
+        self._client.release(held.key, held.attempt)
+
+    def _run(self, request, held):
+        """Run in a task of its own, which outlives the caller's connection.
+
+        A caller that lost its connection asks again under the same key and
+        needs the answer.
+        """
+        task = gevent.spawn(self._run_claimed, request, held)
+        self._runs.add(task)
+        task.link(self._runs.discard)
+        held.decided.wait()
+        if held.state == _State.RELEASED:
+            return held.answer
+        if held.answer is None:
+            return _unknown('the request may have run')
+        return held.answer
+
+    def _run_claimed(self, request, held):
+        answer = None
+        try:
+            answer = self._next_runner.submit(request)
+        finally:
+            self._decide(held, answer)
+
+    def _decide(self, held, answer):
+        expires_ms = self._context.now_ms() + self._context.retention_ms
+        if answer is None or answer.outcome == _Outcome.UNKNOWN:
+            self._results.keep_unknown(held, expires_ms)
+        elif answer.outcome == _Outcome.NOT_RUN:
+            held.answer = answer
+            self._give_up(held)
+        elif not self._results.keep_answer(held, answer, expires_ms):
+            held.answer = answer
+
+    def _fetch(self, record, request, fingerprint):
+        """Get the answer from the holder; None when the claim is void."""
+        if record.fingerprint != fingerprint:
+            return _reject_other_request()
+        wait_ms = FIRST_POLL_WAIT_MS
+        failures = 0
+        clock = self._context.clock
+        while failures < MAX_HOLDER_FAILURES:
+            reply = self._ask_holder(record, request.deadline_ms)
+            failures = failures + 1 if reply is None else 0
+            if reply is not None and reply.state != 'pending':
+                return self._use(reply, record)
+            if clock.monotonic_ms() >= request.deadline_ms:
+                return _unknown('an earlier attempt is still running')
+            wake_ms = min(request.deadline_ms, clock.monotonic_ms() + wait_ms)
+            clock.sleep_until(wake_ms)
+            wait_ms = min(2 * wait_ms, MAX_POLL_WAIT_MS)
+        return _unknown(f'{record.holder}, which ran the request, is away')
+
+    def _ask_holder(self, record, deadline_ms):
+        context = self._context
+        message = claim_messages.ResultRequest(
+            context.name, context.revision, record.key, record.attempt
+        )
+        call_deadline_ms = context.now_ms() + RESULT_CALL_TIMEOUT_MS
+        call_deadline_ms = min(deadline_ms, call_deadline_ms)
+        if record.holder == context.name:
+            handler = self.handlers[claim_messages.ResultRequest]
+            return handler(message, context.name)
+        try:
+            return context.caller.call(
+                record.holder, message, call_deadline_ms
+            )
+        except peer_caller.PeerError:
+            return None
+
+    def _use(self, reply, record):
+        if reply.state == 'answered':
+            headers = tuple((bytes(n), bytes(v)) for n, v in reply.headers)
+            return answer_module.Answer(reply.status, headers, reply.body)
+        if reply.incarnation != record.holder_incarnation:
+            return _unknown('the agent that ran the request was restarted')
+        if reply.state == 'unknown':
+            return _unknown('an earlier attempt may have run')
+        # The holder of this very incarnation does not know the attempt: it
+        # was released, and the message that says so was lost.
+        key_agent = self._rebuild.key_agent(record.key)
+        self._client.release_at(key_agent, record.key, record.attempt)
+        return None
+
+
+def make_keyed_request_runner(
+    *,
+    name,
+    service,
+    keeper,
+    first_observed_revision,
+    instance_list,
+    caller,
+    clock,
+    randomness,
+    next_runner,
+    max_claims=claim_index.DEFAULT_MAX_CLAIMS,
+    max_result_bytes=keyed_results.DEFAULT_MAX_RESULT_BYTES,
+):
+    """Return a KeyedRequestRunner with all of its parts.
+
+    Args:
+        name: Name of the agent.
+        service: Name of its service.
+        keeper: Object with ``fleet`` and ``on_accept(callback)``; callbacks
+            get the previous and the new fleet.
+        first_observed_revision: Revision that this process first saw in
+            force, after it asked the configuration service and its peers.
+        instance_list: Object with ``states() -> {name: state}``, see
+            ClaimInstanceList.
+        caller: PeerCaller; must reach withdrawn hosts while they drain.
+        clock: Clock.
+        randomness: random.Random, for the number of this process.
+        next_runner: RequestRunner that runs the requests.
+        max_claims: Bound on the number of claims known here.
+        max_result_bytes: Bound on the bytes of kept answers.
+    """
+    context = claim_context.ClaimContext(
+        name=name,
+        service=service,
+        keeper=keeper,
+        instance_list=instance_list,
+        caller=caller,
+        clock=clock,
+        incarnation=randomness.getrandbits(63),
+    )
+    index = claim_index.ClaimIndex(clock, max_claims)
+    results = keyed_results.KeyedResults(clock, max_result_bytes)
+    rebuild = claim_rebuild.ClaimRebuild(
+        context, index, first_observed_revision
+    )
+    detector = claim_heartbeat.PauseDetector(clock, rebuild.on_pause)
+    return KeyedRequestRunner(
+        next_runner, context, index, results, rebuild, detector
+    )
+
+
+def _unknown(reason):
+    return answer_module.make_refusal(_Outcome.UNKNOWN, reason)
+
+
+def _reject_other_request():
+    return _reject(422, 'the key was used for another request')
+
+
+def _reject(status, reason):
+    headers = ((b'content-type', b'text/plain; charset=utf-8'),)
+    body = reason.encode() + b'\n'
+    return answer_module.Answer(status, headers, body, _Outcome.NOT_RUN)
