Add the agent's data path and placement

Cause: the end-to-end path needs an agent that owns connections. Ruled out: an immediate reset for a packet of another service; its owner may hold the connection, so it is refused and counted only. Change: settings, data path, bounded-load placement.

--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -0,0 +1,243 @@
+"""Takes envelopes from balancers to the connections that own them."""
+
+from kingcupport.agent import placement as placement_module
+from kingcupport.common import address
+from kingcupport.common import errors
+from kingcupport.routing import fleet_tables
+from kingcupport.wire import datagrams
+from kingcupport.wire import packet as packet_module
+
+# Agents asked for an unknown connection before the caller gets a reset.
+MAX_ASKED_AGENTS = 8
+
+_Kind = packet_module.PacketKind
+_Placement = placement_module.Placement
+
+
+class DataPath:
+    """Delivers packets to owned connections and passes the others on.
+
+    Args:
+        name: Name of this agent.
+        service: Name of its service.
+        fleet: The Fleet in force.
+        packet_format: PacketFormat of the fabric.
+        send: Called as ``send(data, (ip, port))``; never blocks.
+        table: ConnectionTable.
+        placement: OpenPlacement.
+        accept: Called with an OPEN Packet; returns the new Connection.
+        suspects: Suspects, names of agents that did not answer lately.
+        on_datagram: Called as ``on_datagram(datagram, source)`` with
+            datagrams other than envelopes.
+        on_revision: Called as ``on_revision(revision, address)`` with the
+            revision that a balancer routed under.
+        counters: DataPathCounters.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        service,
+        fleet,
+        packet_format,
+        send,
+        table,
+        placement,
+        accept,
+        suspects,
+        on_datagram,
+        on_revision,
+        counters,
+    ):
+        self._name = name
+        self._service = service
+        self._format = packet_format
+        self._send = send
+        self._table = table
+        self._placement = placement
+        self._accept = accept
+        self._suspects = suspects
+        self._on_datagram = on_datagram
+        self._on_revision = on_revision
+        self.counters = counters
+        self.draining = False
+        self.fleet = fleet
+        self._tables = fleet_tables.FleetTables(fleet)
+        self._previous_tables = self._tables
+
+    def set_fleet(self, fleet):
+        """Route by another fleet from now on."""
+        self.fleet = fleet
+        self._previous_tables = self._tables
+        self._tables = fleet_tables.FleetTables(fleet, self._tables)
+
+    def first_candidate(self, connection_id):
+        """Return the best agent other than this one, or None.
+
+        Args:
+            connection_id: The connection.
+        """
+        usable = (
+            name
+            for name in self._candidates(connection_id)
+            if name != self._name and name not in self._suspects
+        )
+        return next(usable, None)
+
+    def owner(self, connection_id):
+        """Return the first candidate under the fleet in force, or None."""
+        table = self._tables.table(self._service)
+        return table.owner(connection_id) if table else None
+
+    def on_data(self, data, source):
+        """Handle one datagram; malformed ones are counted and dropped.
+
+        Args:
+            data: Bytes of the datagram.
+            source: ``(ip, port)`` of the sender.
+        """
+        self.counters.datagrams += 1
+        try:
+            datagram = datagrams.decode_datagram(data)
+            if isinstance(datagram, datagrams.Envelope):
+                self._on_envelope(datagram)
+            else:
+                self._on_datagram(datagram, source)
+        except errors.KingcupportError:
+            self.counters.malformed += 1
+
+    def _on_envelope(self, envelope):
+        if envelope.revision != self.fleet.revision:
+            self._on_revision(
+                envelope.revision,
+                address.parse_address(envelope.balancer_address),
+            )
+        if envelope.service != self._service:
+            self.counters.wrong_service += 1
+            return
+        packet = self._format.decode(envelope.packet_data)
+        if self._is_for_other_service(packet):
+            self.counters.wrong_service += 1
+            return
+        connection = self._table.get(packet.connection_id)
+        is_open = packet.kind == _Kind.OPEN
+        if connection is not None and (
+            is_open or packet.stream_id == connection.identity.stream_id
+        ):
+            connection.deliver(packet)
+            if envelope.tried:
+                self._send_hint(envelope, packet.connection_id)
+        elif is_open:
+            self._on_open(envelope, packet)
+        else:
+            self._on_unknown(envelope, packet)
+
+    def _is_for_other_service(self, packet):
+        """Whether the address in the packet is another service's.
+
+        A balancer with an old view may name this service for an address that
+        has been given to another one since.
+        """
+        service = self.fleet.service_at(packet.service_address)
+        return service is not None and service.name != self._service
+
+    def _on_open(self, envelope, packet):
+        redirect = self._table.redirect(packet.connection_id)
+        if redirect is not None and self._may_pass_to(redirect, envelope):
+            self._pass_on(envelope, redirect)
+            return
+        candidates = self._candidates(packet.connection_id)
+        if self.draining or self._table.full:
+            self._pass_to_next(envelope, packet, candidates)
+            return
+        decision, next_name = self._placement.decide(
+            candidates, envelope.tried
+        )
+        if decision == _Placement.PASS_ON and next_name in self._suspects:
+            decision = _Placement.ACCEPT
+        if decision == _Placement.PASS_ON:
+            self.counters.placed_elsewhere += 1
+            self._table.set_redirect(packet.connection_id, next_name)
+            self._pass_on(envelope, next_name)
+            return
+        self.counters.accepted += 1
+        self._accept(packet)
+        if envelope.tried:
+            self._send_hint(envelope, packet.connection_id)
+
+    def _on_unknown(self, envelope, packet):
+        redirect = self._table.redirect(packet.connection_id)
+        if redirect is not None and self._may_pass_to(redirect, envelope):
+            self._pass_on(envelope, redirect)
+            return
+        previous = self._previous_tables.table(self._service)
+        candidates = self._candidates(packet.connection_id)
+        if previous is not None:
+            candidates = (previous.owner(packet.connection_id), *candidates)
+        self._pass_to_next(envelope, packet, candidates)
+
+    def _candidates(self, connection_id):
+        table = self._tables.table(self._service)
+        if table is None:
+            return ()
+        return table.candidates(connection_id, MAX_ASKED_AGENTS)
+
+    def _may_pass_to(self, name, envelope):
+        return (
+            name != self._name
+            and name not in envelope.tried
+            and name not in self._suspects
+            and self._agent_address(name) is not None
+        )
+
+    def _agent_address(self, name):
+        member = self.fleet.backend_servers.get(name)
+        if member is None:
+            # A withdrawn agent may still own connections while it drains.
+            member = self._previous_tables.fleet.backend_servers.get(name)
+        if member is None or member.service != self._service:
+            return None
+        return member.agent_address.as_tuple()
+
+    def _pass_to_next(self, envelope, packet, candidates):
+        usable = (n for n in candidates if self._may_pass_to(n, envelope))
+        next_name = next(usable, None)
+        if next_name is None:
+            self._reset(packet)
+        else:
+            self._pass_on(envelope, next_name)
+
+    def _pass_on(self, envelope, agent_name):
+        self.counters.passed_on += 1
+        data = datagrams.encode_envelope(
+            envelope.service,
+            envelope.revision,
+            envelope.balancer_address,
+            [*envelope.tried, self._name],
+            envelope.packet_data,
+        )
+        self._send(data, self._agent_address(agent_name))
+
+    def _send_hint(self, envelope, connection_id):
+        self.counters.hints_sent += 1
+        hint = datagrams.LocationHint(
+            connection_id, self._name, self.fleet.revision
+        )
+        destination = address.parse_address(envelope.balancer_address)
+        self._send(
+            datagrams.encode_location_hint(hint), destination.as_tuple()
+        )
+
+    def _reset(self, packet):
+        if packet.kind == _Kind.RESET:
+            return
+        self.counters.unknown_connection += 1
+        packet.kind = int(_Kind.RESET)
+        packet.payload = b''
+        self.send_packet(packet)
+
+    def send_packet(self, packet):
+        """Send a Packet to the fabric port that takes answers."""
+        destination = address.parse_address(packet.return_address)
+        self._send(self._format.encode(packet), destination.as_tuple())
--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/settings.py
@@ -0,0 +1,61 @@
+"""Settings of the kingcupport-agent program."""
+
+import attrs
+
+from kingcupport.common import address
+from kingcupport.common import settings
+from kingcupport.observability import log_settings
+
+
+@attrs.frozen
+class LimitSettings:
+    """Bounds of an agent, the table ``[limits]``.
+
+    Args:
+        max_connections_count: Connections owned at once.
+        idle_timeout_ms: Time without a packet after which an unused
+            connection ends.
+        request_timeout_ms: Time for a whole request after its first byte.
+        drain_timeout_ms: Longest time that a drain may take.
+        placement_bound_percent: How far the number of connections may exceed
+            the mean of the service before new ones are passed on.
+        rebalance_per_s: Idle connections handed to an added host a second.
+    """
+
+    max_connections_count: int = settings.setting(20_000, minimum=1)
+    idle_timeout_ms: int = settings.setting(86_400_000, minimum=1000)
+    request_timeout_ms: int = settings.setting(30_000, minimum=100)
+    drain_timeout_ms: int = settings.setting(30_000, minimum=0)
+    placement_bound_percent: int = settings.setting(2, minimum=0, maximum=100)
+    rebalance_per_s: int = settings.setting(100, minimum=1)
+
+
+@attrs.frozen
+class AgentSettings:
+    """Settings of one agent.
+
+    Args:
+        name: Name of its backend server in the release notes.
+        service: Name of its service.
+        data_centre: Where the instance stands.
+        address: UDP port for envelopes and TCP port for peers.
+        server_address: Where the backend server takes HTTP requests.
+        slots_count: Number of requests that the server runs at once.
+        http_address: Where metrics and health are served.
+        configuration_address: The configuration service.
+        seeds: Processes that are asked at start if the service is down.
+        limits: LimitSettings.
+        log: LogSettings.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    address: address.Address
+    server_address: address.Address
+    http_address: address.Address
+    configuration_address: address.Address
+    slots_count: int = settings.setting(1, minimum=1, maximum=1024)
+    seeds: tuple[address.Address, ...] = ()
+    limits: LimitSettings = LimitSettings()
+    log: log_settings.LogSettings = log_settings.LogSettings()
