Drop an argument that msgpack.unpackb does not have

Cause: decode_message passed max_buffer_size to msgpack.unpackb, which only the streaming Unpacker accepts, so every call raised TypeError. Ruled out: an old msgpack; 1.2.4 is pinned and its signature has no such argument. Change: the argument is gone; unpackb derives its limits from the length of the data, and PeerStream refuses frames above MAX_MESSAGE_BYTES before that. Before: no peer message could be decoded. After: tests/control exchanges them over loopback.

--- a/packages/wire/src/kingcupport/wire/message_codec.py
+++ b/packages/wire/src/kingcupport/wire/message_codec.py
@@ -101,7 +101,7 @@
         WireError: The bytes are not one valid message.
     """
     try:
-        array = msgpack.unpackb(data, max_buffer_size=MAX_MESSAGE_BYTES)
+        array = msgpack.unpackb(data)
     except (ValueError, msgpack.UnpackException, RecursionError) as error:
         raise _decode_error(f'is not msgpack: {error}', peer) from None
     return message_from_array(array, peer)
