Add the control plane

Cause: balancers and agents need one fleet in force, peers that they can ask and release notes that spread without a second coordination service. Ruled out: a pull in which a process fetches whole fleets, because 4 KB/s do not cover 600 KB a change; a start that asks several peers for differences at once, because each would answer with a whole fleet, so a starting process asks for the status first and pulls from one peer that is ahead.

--- /dev/null
+++ b/packages/control/src/kingcupport/control/configuration_poller.py
@@ -0,0 +1,100 @@
+"""Offers what the configuration service has to the fleet keeper."""
+
+import logging
+
+from kingcupport.control import configuration_reader
+from kingcupport.control import offer_result
+
+LOG = logging.getLogger(__name__)
+
+# Half of the 2,000 calls a second that the service serves to all readers.
+RATE_BUDGET_PER_S = 1_000
+MIN_INTERVAL_MS = 1_000
+# Keeps the readers from falling into step.
+_JITTER = (0.75, 1.25)
+# A process that is 16 x 64 notes behind continues at the next interval.
+MAX_READS_PER_POLL = 16
+ORIGIN = 'configuration service'
+
+
+class ConfigurationPoller:
+    """Polls the configuration service.
+
+    Args:
+        keeper: FleetKeeper.
+        reader: ConfigurationReader, None when there is no service.
+        rng: random.Random for the jitter.
+        counts: collections.Counter of the process.
+        rate_budget_per_s: Reads a second that the whole fleet may cause.
+    """
+
+    def __init__(
+        self,
+        keeper,
+        reader,
+        rng,
+        counts,
+        rate_budget_per_s=RATE_BUDGET_PER_S,
+    ):
+        self._keeper = keeper
+        self._reader = reader
+        self._rng = rng
+        self._counts = counts
+        self._rate_budget_per_s = rate_budget_per_s
+        self._is_up = True
+
+    def next_delay_ms(self):
+        """Return the jittered time until the next poll."""
+        processes = len(self._keeper.peer_addresses)
+        interval_ms = processes * 1000 / self._rate_budget_per_s
+        return max(MIN_INTERVAL_MS, interval_ms) * self._rng.uniform(*_JITTER)
+
+    def poll(self):
+        """Read the service and offer what is new.
+
+        Returns:
+            Whether the service answered.
+        """
+        if self._reader is None:
+            return False
+        try:
+            for _ in range(MAX_READS_PER_POLL):
+                if not self._read_once():
+                    break
+        except configuration_reader.ConfigurationError as error:
+            self._counts['configuration_reads_failed'] += 1
+            self._log_state(False, str(error))
+            return False
+        self._log_state(True, '')
+        return True
+
+    def _read_once(self):
+        """Return whether there may be more notes."""
+        self._counts['configuration_reads'] += 1
+        before = self._keeper.fleet.revision
+        reading = self._reader.read(before)
+        results = [
+            self._keeper.offer_plain_note(note, ORIGIN)
+            for note in reading.notes
+        ]
+        if results and results[-1] is offer_result.OfferResult.UNFIT:
+            # Another branch, or a gap after a refused note.
+            self._counts['configuration_reads'] += 1
+            reading = self._reader.read_fleet()
+        if reading.fleet is not None:
+            self._keeper.offer_plain_fleet(reading.fleet, ORIGIN)
+        is_full = len(reading.notes) >= configuration_reader.MAX_NOTES
+        return is_full and self._keeper.fleet.revision > before
+
+    def _log_state(self, is_up, reason):
+        # One line a change, not one a poll, while the service is down.
+        if is_up == self._is_up:
+            return
+        self._is_up = is_up
+        if is_up:
+            LOG.info('configuration service answers again')
+        else:
+            LOG.warning(
+                'configuration service does not answer',
+                extra={'reason': reason},
+            )
--- /dev/null
+++ b/packages/control/src/kingcupport/control/control_plane.py
@@ -0,0 +1,202 @@
+"""Puts the parts of the control plane together for a program."""
+
+import collections
+
+from kingcupport.control import configuration_poller
+from kingcupport.control import configuration_reader as reader_module
+from kingcupport.control import difference_puller
+from kingcupport.control import fleet_keeper
+from kingcupport.control import peer_pool
+from kingcupport.control import peer_server
+from kingcupport.control import revision_spreader
+from kingcupport.fleet import documents
+from kingcupport.fleet import release_note
+from kingcupport.wire import control_messages
+
+
+class ControlPlane:
+    """The control plane of one process; see ``make_control_plane``.
+
+    Attributes:
+        keeper: FleetKeeper.
+        pool: PeerPool, for calls by name and by address.
+        server: PeerServer.
+        spreader: RevisionSpreader; the program passes received
+            RevisionNotice datagrams to its ``on_notice``.
+        counts: collections.Counter of events by name.
+    """
+
+    def __init__(self, keeper, pool, server, spreader, counts):
+        self.keeper = keeper
+        self.pool = pool
+        self.server = server
+        self.spreader = spreader
+        self.counts = counts
+
+    @property
+    def ready(self):
+        """Whether the service and peers have been asked since the start."""
+        return self.spreader.ready
+
+    def start(self):
+        """Listen for peers and start to learn and spread revisions.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self.server.start()
+        self.spreader.start()
+
+    def stop(self):
+        """Stop the tasks and close every connection."""
+        self.spreader.stop()
+        self.server.stop()
+        self.pool.close()
+
+
+class _ControlHandlers:
+    """Answers the control plane's own peer messages."""
+
+    def __init__(self, name, keeper, audit, counts, state, figures):
+        self._name = name
+        self._keeper = keeper
+        self._audit = audit
+        self._counts = counts
+        self._state = state
+        self._figures = figures
+
+    def by_message_class(self):
+        """Return the handlers for a PeerServer."""
+        return {
+            control_messages.DifferenceRequest: self.on_difference_request,
+            control_messages.StatusRequest: self.on_status_request,
+            control_messages.AuditRequest: self.on_audit_request,
+        }
+
+    def on_difference_request(self, message, peer):
+        """Return the DifferenceReply for an asker's revision."""
+        self._keeper.compare_digest(
+            message.revision, message.digest, message.sender
+        )
+        difference = self._keeper.differences_since(
+            message.revision, message.digest
+        )
+        fleet = difference.fleet
+        return control_messages.DifferenceReply(
+            self._name,
+            self._keeper.fleet.revision,
+            [release_note.note_to_plain(note) for note in difference.notes],
+            {} if fleet is None else documents.fleet_to_plain(fleet),
+        )
+
+    def on_status_request(self, message, peer):
+        """Return the StatusReply."""
+        fleet = self._keeper.fleet
+        return control_messages.StatusReply(
+            self._name,
+            fleet.revision,
+            fleet.digest,
+            self._state(),
+            self._keeper.conflicts,
+            {**self._counts, **self._figures()},
+        )
+
+    def on_audit_request(self, message, peer):
+        """Return the AuditReply."""
+        return control_messages.AuditReply(
+            self._name,
+            self._keeper.fleet.revision,
+            self._audit.events(message.after_sequence),
+        )
+
+
+def make_control_plane(
+    *,
+    name,
+    address,
+    clock,
+    rng,
+    audit,
+    send_datagram,
+    reader=None,
+    seeds=(),
+    handlers=None,
+    state=None,
+    figures=dict,
+    rate_budget_per_s=configuration_poller.RATE_BUDGET_PER_S,
+    keeper=None,
+):
+    """Return the ControlPlane of one process.
+
+    Args:
+        name: Name of the process in the fleet.
+        address: Address of its UDP socket; peers connect to the same port.
+        clock: Clock.
+        rng: random.Random.
+        audit: AuditTrail.
+        send_datagram: ``send_datagram(data, address)`` on the UDP socket.
+        reader: ConfigurationReader, or the service's Address, or None.
+        seeds: Addresses of processes that are asked at start.
+        handlers: The program's ``handler(message, peer) -> reply`` by
+            message class.
+        state: Returns ``starting``, ``ready`` or ``draining``; by default
+            derived from ``ready``.
+        figures: Returns integer gauges by name for the status.
+        rate_budget_per_s: Configuration reads a second of the whole fleet.
+        keeper: FleetKeeper, if the program has made one already.
+    """
+    counts = collections.Counter()
+    keeper = keeper or fleet_keeper.FleetKeeper(audit)
+    pool = peer_pool.PeerPool(keeper, clock, counts)
+    puller = difference_puller.DifferencePuller(
+        keeper, pool, clock, rng, name, address, counts
+    )
+    poller = configuration_poller.ConfigurationPoller(
+        keeper, _make_reader(reader), rng, counts, rate_budget_per_s
+    )
+    spreader = revision_spreader.RevisionSpreader(
+        keeper,
+        puller,
+        poller,
+        pool,
+        clock,
+        rng,
+        name=name,
+        own_address=address,
+        send_datagram=send_datagram,
+        counts=counts,
+        seeds=seeds,
+    )
+    own_handlers = _ControlHandlers(
+        name,
+        keeper,
+        audit,
+        counts,
+        state or (lambda: 'ready' if spreader.ready else 'starting'),
+        figures,
+    )
+    server = peer_server.PeerServer(
+        address,
+        {**own_handlers.by_message_class(), **(handlers or {})},
+        name=name,
+        keeper=keeper,
+        counts=counts,
+    )
+    pool.on_revision(spreader.on_revision_seen)
+    server.on_revision(_resolve_senders(keeper, spreader))
+    return ControlPlane(keeper, pool, server, spreader, counts)
+
+
+def _make_reader(reader):
+    if reader is None or isinstance(reader, reader_module.ConfigurationReader):
+        return reader
+    return reader_module.make_http_configuration_reader(reader)
+
+
+def _resolve_senders(keeper, spreader):
+    def on_revision(revision, sender):
+        address = keeper.process_address(sender)
+        if address is not None:
+            spreader.on_revision_seen(revision, address)
+
+    return on_revision
--- /dev/null
+++ b/packages/control/src/kingcupport/control/http_reader.py
@@ -0,0 +1,78 @@
+"""Bounded HTTP reads of JSON documents from the platform."""
+
+import json
+
+import gevent
+import geventhttpclient
+
+# The service answers in milliseconds; two seconds cover a retransmitted SYN.
+CONNECT_TIMEOUT_MS = 2_000
+READ_TIMEOUT_MS = 2_000
+# A service that sends a byte at a time passes the timeouts above.
+TOTAL_TIMEOUT_MS = 5_000
+_OK = 200
+
+
+class HttpReader:
+    """Reads JSON documents over one kept connection.
+
+    Args:
+        address: Address of the service.
+        error_class: KingcupportError class to raise.
+    """
+
+    def __init__(self, address, error_class):
+        self.peer = str(address)
+        self._error_class = error_class
+        self._client = geventhttpclient.HTTPClient(
+            address.ip,
+            address.port,
+            connection_timeout=CONNECT_TIMEOUT_MS / 1000,
+            network_timeout=READ_TIMEOUT_MS / 1000,
+        )
+
+    def get_json(self, target, limit_bytes, also_allowed=()):
+        """Read a JSON document.
+
+        Args:
+            target: Path and query.
+            limit_bytes: Greatest size of the body.
+            also_allowed: Statuses other than 200 that are answers; their
+                body is not read.
+
+        Returns:
+            The status and the document, None for another status than 200.
+
+        Raises:
+            KingcupportError: Of the reader's error class.
+        """
+        try:
+            with gevent.Timeout(
+                TOTAL_TIMEOUT_MS / 1000, TimeoutError('answer takes too long')
+            ):
+                status, body = self._get(target, limit_bytes)
+        except (OSError, geventhttpclient.HTTPParseError) as error:
+            raise self._error(target, f'{error}') from None
+        if status in also_allowed:
+            return status, None
+        if status != _OK:
+            raise self._error(target, f'status {status}')
+        if len(body) > limit_bytes:
+            raise self._error(target, f'more than {limit_bytes} bytes')
+        try:
+            return status, json.loads(body)
+        except (ValueError, RecursionError) as error:
+            raise self._error(target, f'is not JSON: {error}') from None
+
+    def _get(self, target, limit_bytes):
+        response = self._client.get(target)
+        try:
+            if response.status_code != _OK:
+                return response.status_code, b''
+            return _OK, response.read(limit_bytes + 1)
+        finally:
+            # An answer that was not read to its end closes the connection.
+            response.release()
+
+    def _error(self, target, reason):
+        return self._error_class(reason, step=f'get {target}', peer=self.peer)
--- a/packages/control/src/kingcupport/control/peer_caller.py
+++ b/packages/control/src/kingcupport/control/peer_caller.py
@@ -23,6 +23,23 @@
         self.sent = sent
 
 
+class PeerAnswerError(PeerError):
+    """A peer that received the request and answered with an error.
+
+    Args:
+        answer_code: Code of the peer's error.
+        reason: The peer's reason.
+        step: The step that failed.
+        peer: Name or address of the peer.
+    """
+
+    code = 'peer_error'
+
+    def __init__(self, answer_code, reason, *, step, peer=None):
+        super().__init__(f'{answer_code}: {reason}', step=step, peer=peer)
+        self.answer_code = answer_code
+
+
 class PeerCaller(abc.ABC):
     """Sends a peer message and waits for the reply."""
 
@@ -41,6 +58,6 @@
 
         Raises:
             PeerError: No connection, no reply by the deadline, or an
-                ``ErrorReply``; ``sent`` tells whether the message may have
-                been received.
+                ``ErrorReply`` (then a PeerAnswerError); ``sent`` tells
+                whether the message may have been received.
         """
--- /dev/null
+++ b/packages/control/src/kingcupport/control/periodic_task.py
@@ -0,0 +1,26 @@
+"""Runs a step again and again until the task is killed."""
+
+import logging
+
+LOG = logging.getLogger(__name__)
+
+
+def run_periodically(clock, next_delay_ms, step):
+    """Wait and run a step, without end.
+
+    Args:
+        clock: Clock to wait on.
+        next_delay_ms: Callable that returns the time before the next step.
+        step: Callable; an exception is logged and does not end the task.
+    """
+    while True:
+        clock.sleep_until(clock.monotonic_ms() + next_delay_ms())
+        run_safely(step)
+
+
+def run_safely(step):
+    """Run a step and log an exception instead of raising it."""
+    try:
+        step()
+    except Exception:
+        LOG.exception('control step failed')
--- /dev/null
+++ b/packages/control/src/kingcupport/control/revision_spreader.py
@@ -0,0 +1,270 @@
+"""Spreads the revision in force between processes and from the service."""
+
+import collections
+import logging
+
+import gevent
+import gevent.event
+import gevent.pool
+
+from kingcupport.common import address as address_module
+from kingcupport.control import peer_caller
+from kingcupport.control import periodic_task
+from kingcupport.wire import control_messages
+from kingcupport.wire import datagrams
+
+LOG = logging.getLogger(__name__)
+
+NOTICE_INTERVAL_MS = 500
+_NOTICE_JITTER = (0.8, 1.2)
+# An answer tells a peer that it is behind; one a second is enough, because
+# the peer pulls within that time.
+ANSWER_INTERVAL_MS = 1_000
+MAX_ANSWERED_PEERS = 1_024
+# Answers that a starting process waits for, so that one stale or starting
+# peer does not decide alone, and the number of peers asked for them.
+COMPARED_PEERS = 5
+MAX_ASKED_PEERS = 25
+COMPARE_TIMEOUT_MS = 1_000
+# A newer fleet can name other peers, which are then asked too.
+MAX_COMPARE_ROUNDS = 4
+# Start-up retries: without a fleet the rate budget is unknown.
+START_RETRY_MS = 1_000
+MAX_START_RETRY_MS = 8_000
+
+
+class RevisionSpreader:
+    """Tells peers the revision in force and learns newer ones.
+
+    Args:
+        keeper: FleetKeeper.
+        puller: DifferencePuller.
+        poller: ConfigurationPoller.
+        caller: AddressCaller.
+        clock: Clock.
+        rng: random.Random.
+        name: Name of this process.
+        own_address: Peer address of this process.
+        send_datagram: ``send_datagram(data, address)``; an OSError is
+            counted.
+        counts: collections.Counter of the process.
+        seeds: Addresses of processes that are asked at start in addition to
+            those of the fleet.
+    """
+
+    def __init__(
+        self,
+        keeper,
+        puller,
+        poller,
+        caller,
+        clock,
+        rng,
+        *,
+        name,
+        own_address,
+        send_datagram,
+        counts,
+        seeds=(),
+    ):
+        self._keeper = keeper
+        self._puller = puller
+        self._poller = poller
+        self._caller = caller
+        self._clock = clock
+        self._rng = rng
+        self._name = name
+        self._own_address = own_address
+        self._send_datagram = send_datagram
+        self._counts = counts
+        self._seeds = tuple(a for a in seeds if a != own_address)
+        # Deadline before which a peer gets no further answer, by address.
+        self._answered = collections.OrderedDict()
+        self._ready = gevent.event.Event()
+        self._tasks = []
+
+    @property
+    def ready(self):
+        """Whether the service and peers have been asked since the start."""
+        return self._ready.is_set()
+
+    def wait_ready(self, timeout_ms):
+        """Block until ready; return False when the time is up."""
+        return self._ready.wait(timeout_ms / 1000)
+
+    def start(self):
+        """Start the tasks."""
+        self._tasks = [
+            gevent.spawn(self._run_start),
+            gevent.spawn(self._puller.run),
+            gevent.spawn(
+                periodic_task.run_periodically,
+                self._clock,
+                self._next_notice_delay_ms,
+                self.notify_random_peer,
+            ),
+        ]
+
+    def stop(self):
+        """Stop the tasks."""
+        gevent.killall(self._tasks)
+        self._tasks = []
+
+    def on_notice(self, notice):
+        """Handle a RevisionNotice datagram.
+
+        Args:
+            notice: The RevisionNotice.
+        """
+        self._counts['notices_received'] += 1
+        try:
+            address = address_module.parse_address(notice.sender_address)
+        except address_module.AddressError:
+            self._counts['notices_malformed'] += 1
+            return
+        fleet = self._keeper.fleet
+        if notice.revision > fleet.revision:
+            self._puller.on_revision_seen(notice.revision, address)
+        elif notice.revision < fleet.revision:
+            self._answer(address)
+        else:
+            self._keeper.compare_digest(
+                notice.revision, notice.digest, str(address)
+            )
+
+    def on_revision_seen(self, revision, address):
+        """Handle the revision that a peer message carried.
+
+        Args:
+            revision: The sender's revision.
+            address: Peer address of the sender.
+        """
+        self._puller.on_revision_seen(revision, address)
+
+    def notify_random_peer(self):
+        """Send a notice to one random process of the fleet."""
+        others = self._sample_peers(1)
+        if others:
+            self._send_notice(others[0])
+
+    def synchronise(self):
+        """Read the service, then ask peers; become ready if that suffices.
+
+        Ready needs an answer of the service, or a fleet from a peer; and no
+        answering peer may be ahead.
+
+        Returns:
+            Whether the process is ready.
+        """
+        is_service_read = self._poller.poll()
+        is_current = self._compare_until_current()
+        has_source = is_service_read or self._keeper.fleet.revision > 0
+        if is_current and has_source:
+            self._ready.set()
+        return self.ready
+
+    def compare_with_peers(self):
+        """Ask random peers for their revision and pull if one is ahead.
+
+        A process that was paused calls this before it trusts its fleet.
+
+        Returns:
+            The number of peers that answered, or None if one of them is
+            still ahead.
+        """
+        answers = self._ask_peers()
+        if not self._puller.pull_until_current():
+            return None
+        behind = [r for r in answers if r > self._keeper.fleet.revision]
+        return None if behind else len(answers)
+
+    def _compare_until_current(self):
+        for _ in range(MAX_COMPARE_ROUNDS):
+            before = self._keeper.fleet.revision
+            if self.compare_with_peers() is None:
+                return False
+            if self._keeper.fleet.revision == before:
+                return True
+        return False
+
+    def _ask_peers(self):
+        """Return the revisions of the peers that answered."""
+        answers = []
+        others = list(self._seeds)
+        others += [
+            a for a in self._sample_peers(MAX_ASKED_PEERS) if a not in others
+        ]
+        # All seeds belong to the first batch, because the fleet that the
+        # service returned may be so old that none of its processes is left.
+        size = max(len(self._seeds), COMPARED_PEERS)
+        while others and len(answers) < COMPARED_PEERS:
+            batch, others = others[:size], others[size:]
+            replies = gevent.pool.Pool(size).map(self._ask_revision, batch)
+            answers += [r for r in replies if r is not None]
+        return answers
+
+    def _ask_revision(self, address):
+        try:
+            reply = self._caller.call_address(
+                address,
+                control_messages.StatusRequest(
+                    self._name, self._keeper.fleet.revision
+                ),
+                self._clock.monotonic_ms() + COMPARE_TIMEOUT_MS,
+            )
+        except peer_caller.PeerError:
+            return None
+        self._puller.on_revision_seen(reply.revision, address)
+        return reply.revision
+
+    def _sample_peers(self, count):
+        addresses = self._keeper.peer_addresses
+        # One more is drawn, because this process may be among them.
+        drawn = self._rng.sample(addresses, min(count + 1, len(addresses)))
+        return [a for a in drawn if a != self._own_address][:count]
+
+    def _answer(self, address):
+        now_ms = self._clock.monotonic_ms()
+        if self._answered.get(address, now_ms) > now_ms:
+            return
+        self._answered[address] = now_ms + ANSWER_INTERVAL_MS
+        self._answered.move_to_end(address)
+        if len(self._answered) > MAX_ANSWERED_PEERS:
+            self._answered.popitem(last=False)
+        self._send_notice(address)
+
+    def _send_notice(self, address):
+        fleet = self._keeper.fleet
+        notice = datagrams.RevisionNotice(
+            fleet.revision, fleet.digest, str(self._own_address)
+        )
+        data = datagrams.encode_revision_notice(notice)
+        try:
+            self._send_datagram(data, address)
+        except OSError:
+            self._counts['notices_failed'] += 1
+            return
+        self._counts['notices_sent'] += 1
+        self._counts['notice_bytes_sent'] += len(data)
+
+    def _next_notice_delay_ms(self):
+        return NOTICE_INTERVAL_MS * self._rng.uniform(*_NOTICE_JITTER)
+
+    def _run_start(self):
+        delay_ms = START_RETRY_MS
+        while True:
+            periodic_task.run_safely(self.synchronise)
+            if self.ready:
+                break
+            self._clock.sleep_until(
+                self._clock.monotonic_ms()
+                + delay_ms * self._rng.uniform(0.5, 1)
+            )
+            delay_ms = min(delay_ms * 2, MAX_START_RETRY_MS)
+        LOG.info(
+            'control plane ready',
+            extra={'revision': self._keeper.fleet.revision},
+        )
+        periodic_task.run_periodically(
+            self._clock, self._poller.next_delay_ms, self._poller.poll
+        )
