Add the configuration service stand-in

Cause: control plane, agents and balancers need a platform to read release notes, the fleet and the instance list from. Ruled out: faults that only a test in the same process can set; real-process tests set them over HTTP (PUT /_faults).

--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/fault_documents.py
@@ -0,0 +1,32 @@
+"""Reads faults and other small attrs classes from JSON documents."""
+
+import attrs
+import cattrs
+
+from kingcupport.standins import json_server
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def read_document(document, document_class):
+    """Build an attrs class from a JSON object.
+
+    Args:
+        document: The parsed JSON; absent fields keep their default.
+        document_class: The attrs class.
+
+    Raises:
+        JsonRequestError: Unknown field, missing field or wrong type.
+    """
+    try:
+        return _converter.structure(document, document_class)
+    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+        reason = '; '.join(cattrs.transform_error(error))
+        raise json_server.JsonRequestError(
+            reason, step='read_document'
+        ) from None
+
+
+def write_document(value):
+    """Return an attrs instance as a JSON object."""
+    return attrs.asdict(value)
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/json_server.py
@@ -0,0 +1,133 @@
+"""HTTP server for JSON documents on gevent's WSGI server."""
+
+import http
+import json
+import logging
+import urllib.parse
+
+import attrs
+from gevent import pywsgi
+
+from kingcupport.common import address as address_module
+from kingcupport.common import errors
+
+LOG = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+
+
+class JsonRequestError(errors.KingcupportError):
+    """A request whose query or body cannot be used; answered with 400."""
+
+    code = 'bad_request'
+
+
+@attrs.frozen
+class JsonRequest:
+    """What a route gets.
+
+    Args:
+        query: Value by name of the query; the last one counts.
+        document: The parsed body, None when there is none.
+    """
+
+    query: dict
+    document: object
+
+    def integer(self, name, default):
+        """Return a whole number of the query.
+
+        Raises:
+            JsonRequestError: The value is not a number of at least 0.
+        """
+        text = self.query.get(name, str(default))
+        if not text.isascii() or not text.isdigit():
+            raise JsonRequestError(
+                f'{name} is {text!r}, not a whole number', step='read_query'
+            )
+        return int(text)
+
+
+@attrs.frozen
+class JsonReply:
+    """What a route returns.
+
+    Args:
+        status: HTTP status code.
+        document: Value that JSON can express.
+    """
+
+    status: int
+    document: object
+
+
+class JsonServer:
+    """Serves routes that take and return JSON, with keep-alive.
+
+    Args:
+        address: Where to listen; port 0 chooses a free one.
+        routes: Function by ``(method, path)``; it takes a JsonRequest and
+            returns a JsonReply. An error with a code is answered with 400.
+    """
+
+    def __init__(self, address, routes):
+        self._routes = routes
+        self._server = pywsgi.WSGIServer(
+            address.as_tuple(), self._handle, log=None, error_log=LOG
+        )
+
+    @property
+    def address(self):
+        """Address in use, known once the server is started."""
+        return address_module.Address(
+            self._server.server_host, self._server.server_port
+        )
+
+    def start(self):
+        """Listen and serve in tasks of their own."""
+        self._server.start()
+
+    def stop(self):
+        """Stop listening and end the connections."""
+        self._server.stop(timeout=0)
+
+    def _handle(self, environ, start_response):
+        reply = self._reply(environ)
+        body = json.dumps(reply.document, separators=(',', ':')).encode()
+        phrase = http.HTTPStatus(reply.status).phrase
+        start_response(
+            f'{reply.status} {phrase}',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+    def _reply(self, environ):
+        path = environ['PATH_INFO']
+        route = self._routes.get((environ['REQUEST_METHOD'], path))
+        if route is None:
+            return JsonReply(404, {'reason': f'no route {path}'})
+        try:
+            return route(_read_request(environ))
+        except errors.KingcupportError as error:
+            return JsonReply(400, {'reason': str(error)})
+
+
+def _read_request(environ):
+    query = dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', '')))
+    size_bytes = int(environ.get('CONTENT_LENGTH') or 0)
+    if size_bytes > MAX_BODY_BYTES:
+        raise JsonRequestError(
+            f'body of {size_bytes} bytes is too large', step='read_body'
+        )
+    body = environ['wsgi.input'].read()
+    if not body:
+        return JsonRequest(query, None)
+    try:
+        return JsonRequest(query, json.loads(body))
+    except ValueError as error:
+        raise JsonRequestError(
+            f'body is not JSON: {error}', step='read_body'
+        ) from None
