--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/echo.py
@@ -0,0 +1,112 @@
+"""Answer bodies from which a caller can tell that they are its own and whole.
+
+The first line is a JSON object that identifies request and server; the rest
+is filler that follows from the request identifier.
+"""
+
+import hashlib
+import json
+
+import attrs
+
+from kingcupport.common import errors
+
+_LINE_END = b'\n'
+
+
+class EchoError(errors.KingcupportError):
+    """An answer that belongs to another request or is not whole."""
+
+    code = 'wrong_answer'
+
+
+@attrs.frozen
+class Echo:
+    """What an answer says about its request and its server.
+
+    Args:
+        service: Service of the backend server that ran the request.
+        server: Name of that backend server.
+        request_id: The request's ``X-Request-Id``.
+        target: The request's target.
+        body_digest: Digest of the request's body.
+        filler_bytes: Length of the filler.
+    """
+
+    service: str
+    server: str
+    request_id: str
+    target: str
+    body_digest: str
+    filler_bytes: int = 0
+
+
+def digest_of(body):
+    """Return the digest of a body, 32 hex digits."""
+    return hashlib.sha256(body).hexdigest()[:32]
+
+
+def make_body(echo):
+    """Return the body of an answer."""
+    line = json.dumps(attrs.asdict(echo), separators=(',', ':')).encode()
+    return line + _LINE_END + _filler(echo)
+
+
+def _filler(echo):
+    pattern = f'{echo.request_id}/{echo.server};'.encode()
+    repeats = echo.filler_bytes // len(pattern) + 1
+    return (pattern * repeats)[: echo.filler_bytes]
+
+
+def read_body(body):
+    """Read an answer's body and check that it is whole.
+
+    Returns:
+        The Echo.
+
+    Raises:
+        EchoError: The body is not one that ``make_body`` returned.
+    """
+    line, _, filler = body.partition(_LINE_END)
+    try:
+        echo = Echo(**json.loads(line))
+    except (ValueError, TypeError) as error:
+        raise EchoError(f'no echo: {error}', step='read_body') from None
+    if filler != _filler(echo):
+        raise EchoError(
+            f'filler of {len(filler)} bytes is not that of '
+            f'{echo.request_id!r}',
+            step='read_body',
+        )
+    return echo
+
+
+def check_echo(echo, *, service, request_id, target, body):
+    """Check that an answer belongs to a request.
+
+    Args:
+        echo: Echo of the answer.
+        service: Name of the service that was asked.
+        request_id: The request's ``X-Request-Id``, or the identifiers of all
+            attempts under one key, of which any may have been answered.
+        target: The request's target.
+        body: The request's body.
+
+    Raises:
+        EchoError: A field differs.
+    """
+    request_ids = (request_id,) if isinstance(request_id, str) else request_id
+    differences = [
+        f'{name} {actual!r}'
+        for name, actual, allowed in (
+            ('service', echo.service, (service,)),
+            ('request_id', echo.request_id, request_ids),
+            ('target', echo.target, (target,)),
+            ('body_digest', echo.body_digest, (digest_of(body),)),
+        )
+        if actual not in allowed
+    ]
+    if differences:
+        raise EchoError(
+            f'answer has {", ".join(differences)}', step='check_echo'
+        )
--- a/packages/standins/src/kingcupport/standins/fault_documents.py
+++ b/packages/standins/src/kingcupport/standins/fault_documents.py
@@ -1,5 +1,7 @@
 """Reads faults and other small attrs classes from JSON documents."""
 
+import json
+
 import attrs
 import cattrs
 
@@ -30,3 +32,22 @@
 def write_document(value):
     """Return an attrs instance as a JSON object."""
     return attrs.asdict(value)
+
+
+def parse_object(body):
+    """Parse a request body that has to be a JSON object.
+
+    Raises:
+        JsonRequestError: It is not.
+    """
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise json_server.JsonRequestError(
+            f'body is not JSON: {error}', step='parse_object'
+        ) from None
+    if not isinstance(document, dict):
+        raise json_server.JsonRequestError(
+            'body is not an object', step='parse_object'
+        )
+    return document
--- /dev/null
+++ b/tests/standins/test_echo.py
@@ -0,0 +1,48 @@
+"""Guards against a caller that takes another request's answer for its own."""
+
+import pytest
+
+from kingcupport.standins import echo
+
+_ECHO = echo.Echo('audio', 'audio-1', 'r7', '/a', echo.digest_of(b'x'), 100)
+
+
+def test_whole_answer_is_read_back():
+    assert echo.read_body(echo.make_body(_ECHO)) == _ECHO
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        echo.make_body(_ECHO)[:-1],
+        echo.make_body(_ECHO) + b'r',
+        echo.make_body(_ECHO).replace(b'audio-1;', b'audio-2;', 1),
+        b'',
+        b'[]\n',
+        b'{"service":"audio"}\n',
+    ],
+)
+def test_damaged_answer_is_refused(body):
+    with pytest.raises(echo.EchoError):
+        echo.read_body(body)
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'service': 'ticketing'},
+        {'request_id': 'r8'},
+        {'target': '/b'},
+        {'body': b'y'},
+    ],
+)
+def test_answer_to_another_request_is_refused(changed):
+    own = {
+        'service': 'audio',
+        'request_id': 'r7',
+        'target': '/a',
+        'body': b'x',
+    }
+    echo.check_echo(_ECHO, **own)
+    with pytest.raises(echo.EchoError):
+        echo.check_echo(_ECHO, **(own | changed))
