Add the agent and balancer programs and connection handoff

Cause: the end-to-end path needs the two daemons; connections have to move to other agents when a host is withdrawn or its process stops. Ruled out: pushing answers to the new owner (a lost push needs its own retry); the new owner fetches them, so a lost reply is asked for again. Change: program runner with settings, signals and drain; balancer; agent; handoff messages, sender, receiver, answers of lent runs; polled instance list.

--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -0,0 +1,376 @@
+"""The agent: all parts put together, started and drained."""
+
+import logging
+import random
+
+import gevent
+from gevent import event
+
+from kingcupport.agent import connection_factory
+from kingcupport.agent import connection_mover
+from kingcupport.agent import data_path as data_path_module
+from kingcupport.agent import data_path_counters
+from kingcupport.agent import placement
+from kingcupport.common import clock as clock_module
+from kingcupport.connections import connection
+from kingcupport.connections import connection_table
+from kingcupport.connections import handoff_receiver
+from kingcupport.connections import handoff_sender
+from kingcupport.connections import lent_runs
+from kingcupport.control import control_plane
+from kingcupport.control import instance_list
+from kingcupport.control import polled_instance_list
+from kingcupport.observability import audit_trail
+from kingcupport.observability import health as health_module
+from kingcupport.observability import http_server
+from kingcupport.observability import metrics as metrics_module
+from kingcupport.requests import backend_port
+from kingcupport.requests import keyed_runner
+from kingcupport.requests import scheduler as scheduler_module
+from kingcupport.routing import suspects as suspects_module
+from kingcupport.wire import datagram_socket
+from kingcupport.wire import datagrams
+from kingcupport.wire import packet_format
+
+LOG = logging.getLogger(__name__)
+
+AVOID_MS = 2_000
+# Time for balancers with an old view to send packets that are passed on.
+REDIRECT_LINGER_MS = 2_000
+_POLL_MS = 50
+
+
+class Agent:
+    """One kingcupport-agent process.
+
+    Args:
+        settings: AgentSettings.
+        clock: Clock.
+        rng: random.Random.
+    """
+
+    def __init__(self, settings, clock, rng):
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self.health = health_module.Health()
+        self.audit = audit_trail.AuditTrail(clock)
+        self.counters = data_path_counters.DataPathCounters()
+        self._suspects = suspects_module.Suspects(clock, AVOID_MS)
+        self._table = connection_table.ConnectionTable(
+            clock, settings.limits.max_connections_count
+        )
+        self._socket = datagram_socket.DatagramSocket(
+            settings.address, self._on_unreachable
+        )
+        self._control = self._make_control()
+        self._keeper = self._control.keeper
+        self._request_ids = connection.request_counter(
+            f'{settings.name}-{rng.getrandbits(48):012x}'
+        )
+        self._make_requests()
+        self._make_connections()
+        self._http = http_server.make_http_server(
+            settings.http_address, self._make_metrics(), self.health
+        )
+        self._tasks = []
+        self._drained = event.Event()
+        self._drain_task = None
+
+    def _make_control(self):
+        settings = self._settings
+        return control_plane.make_control_plane(
+            name=settings.name,
+            address=settings.address,
+            clock=self._clock,
+            rng=self._rng,
+            audit=self.audit,
+            send_datagram=self._send_to_address,
+            reader=settings.configuration_address,
+            seeds=settings.seeds,
+            state=lambda: str(self.health.state),
+            figures=self._figures,
+        )
+
+    def _make_requests(self):
+        settings = self._settings
+        port = backend_port.make_backend_port(
+            settings.server_address, self._clock, settings.slots_count
+        )
+        self._scheduler = scheduler_module.RequestScheduler(
+            port, self._clock, settings.slots_count
+        )
+        self._instances = polled_instance_list.PolledInstanceList(
+            instance_list.make_http_instance_list(
+                settings.configuration_address
+            ),
+            self._clock,
+            self._rng,
+            lambda: len(self._keeper.peer_addresses),
+        )
+        self._runner = None
+
+    def _make_connections(self):
+        settings = self._settings
+        self._lent_runs = lent_runs.LentRuns(
+            settings.name, self._keeper, self._clock
+        )
+        self._factory = connection_factory.ConnectionFactory(
+            settings,
+            self._keeper,
+            self._control.pool,
+            self._clock,
+            self._rng,
+            self._table,
+            self.counters,
+            self._send_packet,
+            self._request_ids,
+        )
+        self._data_path = self._make_data_path()
+        receiver = handoff_receiver.HandoffReceiver(
+            settings.name,
+            self._keeper,
+            self._clock,
+            self._factory.adopt,
+            self._handoff_refusal,
+        )
+        sender = handoff_sender.HandoffSender(
+            settings.name,
+            self._keeper,
+            self._control.pool,
+            self._clock,
+            self._table,
+            self._lent_runs,
+            self._request_ids,
+        )
+        self._mover = connection_mover.ConnectionMover(
+            self._data_path,
+            self._table,
+            sender,
+            self._clock,
+            self.counters,
+            self.audit,
+        )
+        self._control.server.add_handlers(receiver.handlers())
+        self._control.server.add_handlers(self._lent_runs.handlers())
+
+    def _make_data_path(self):
+        settings = self._settings
+        open_placement = placement.OpenPlacement(
+            settings.name,
+            settings.limits.placement_bound_percent,
+            lambda: len(self._table),
+            self._mean_connections,
+        )
+        return data_path_module.DataPath(
+            name=settings.name,
+            service=settings.service,
+            fleet=self._keeper.fleet,
+            packet_format=packet_format.make_packet_format(),
+            send=self._socket.send,
+            table=self._table,
+            placement=open_placement,
+            accept=self._factory.accept,
+            suspects=self._suspects,
+            on_datagram=self._on_datagram,
+            on_revision=self._control.spreader.on_revision_seen,
+            counters=self.counters,
+        )
+
+    def _make_metrics(self):
+        metrics = metrics_module.make_metrics('agent')
+        for name in self._counter_totals():
+            metrics.add_counter(f'{name}_total', f'Total of {name}')
+        for name in self._gauges():
+            metrics.add_gauge(name, f'Current value of {name}')
+
+        def copy_values():
+            for name, value in self._counter_totals().items():
+                metrics.set_total(f'{name}_total', value)
+            for name, value in self._gauges().items():
+                metrics.set_gauge(name, value)
+
+        metrics.before_render(copy_values)
+        return metrics
+
+    def _counter_totals(self):
+        slots = data_path_counters.counter_names()
+        return {name: getattr(self.counters, name) for name in slots}
+
+    def _gauges(self):
+        return {
+            'connections': len(self._table),
+            'redirects': self._table.redirect_count,
+            'lent_runs': self._lent_runs.running_count,
+            'revision': self._keeper.fleet.revision,
+        }
+
+    def _figures(self):
+        keyed = self._runner.figures() if self._runner else {}
+        return {**self._counter_totals(), **self._gauges(), **keyed}
+
+    def start(self):
+        """Start to learn the fleet; connections are taken once it is known.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        self._http.start()
+        self._control.start()
+        self._tasks = [
+            gevent.spawn(
+                self._socket.receive_forever, self._data_path.on_data
+            ),
+            gevent.spawn(self._instances.run),
+            gevent.spawn(self._become_ready),
+        ]
+
+    def _become_ready(self):
+        while not self._control.ready:
+            self._clock.sleep_until(self._clock.monotonic_ms() + _POLL_MS)
+        self._runner = keyed_runner.make_keyed_request_runner(
+            name=self._settings.name,
+            service=self._settings.service,
+            keeper=self._keeper,
+            first_observed_revision=self._keeper.fleet.revision,
+            instance_list=self._instances,
+            caller=self._control.pool,
+            clock=self._clock,
+            randomness=self._rng,
+            next_runner=self._scheduler,
+        )
+        self._control.server.add_handlers(self._runner.handlers)
+        self._factory.runner = self._runner
+        self._runner.start()
+        self._keeper.on_accept(self._on_accept)
+        self._data_path.set_fleet(self._keeper.fleet)
+        self._data_path.started = True
+        self._check_own_entry(self._keeper.fleet)
+        LOG.info(
+            'agent started',
+            extra={
+                'agent': self._settings.name,
+                'revision': self._keeper.fleet.revision,
+            },
+        )
+
+    def _on_accept(self, previous, fleet):
+        self._data_path.set_fleet(fleet)
+        name = self._settings.name
+        was_member = name in previous.backend_servers
+        if was_member and name not in fleet.backend_servers:
+            self.audit.record('withdrawn', revision=fleet.revision)
+            self.start_drain('withdrawn by a release note')
+            return
+        self._check_own_entry(fleet)
+        added = self._added_peers(previous, fleet)
+        if added and was_member:
+            self._tasks.append(
+                gevent.spawn(
+                    self._mover.rebalance,
+                    added,
+                    self._settings.limits.rebalance_per_s,
+                )
+            )
+
+    def _added_peers(self, previous, fleet):
+        service = self._settings.service
+        before = {m.name for m in previous.backend_servers_of(service)}
+        after = {m.name for m in fleet.backend_servers_of(service)}
+        return after - before
+
+    def _check_own_entry(self, fleet):
+        entry = fleet.backend_servers.get(self._settings.name)
+        if entry is None:
+            self.health.set_not_ready('not in the fleet')
+        elif (
+            entry.service != self._settings.service
+            or entry.agent_address != self._settings.address
+        ):
+            self.health.set_not_ready('the fleet differs from the settings')
+        else:
+            self.health.set_ready()
+
+    def start_drain(self, reason):
+        """Give all connections away and let running requests finish.
+
+        Args:
+            reason: One line for the audit trail.
+        """
+        if self._drain_task is None:
+            self.health.start_draining(reason)
+            self.audit.record('drain_started', reason=reason)
+            self._drain_task = gevent.spawn(self._drain)
+
+    def _drain(self):
+        limits = self._settings.limits
+        deadline_ms = self._clock.monotonic_ms() + limits.drain_timeout_ms
+        self._data_path.draining = True
+        left = self._mover.move_all(deadline_ms)
+        self._scheduler.drain()
+        if self._runner is not None:
+            self._runner.drain(deadline_ms)
+        while (
+            self._lent_runs.unfetched_count
+            and self._clock.monotonic_ms() < deadline_ms
+        ):
+            self._clock.sleep_until(self._clock.monotonic_ms() + _POLL_MS)
+        self.audit.record('drain_finished', connections_left=left)
+        self._drained.set()
+
+    def wait_drained(self):
+        """Block until the drain is over and stale balancers had time."""
+        self._drained.wait()
+        self._clock.sleep_until(
+            self._clock.monotonic_ms() + REDIRECT_LINGER_MS
+        )
+
+    def stop(self):
+        """Stop all tasks and close the sockets."""
+        gevent.killall(self._tasks, block=False)
+        if self._runner is not None:
+            self._runner.stop()
+        self._control.stop()
+        self._http.stop(timeout=1)
+        self._socket.close()
+
+    def _handoff_refusal(self):
+        if self.health.draining:
+            return 'draining'
+        if self._runner is None:
+            return 'starting'
+        return 'too many connections' if self._table.full else ''
+
+    def _mean_connections(self):
+        return None
+
+    def _send_packet(self, packet):
+        self._data_path.send_packet(packet)
+
+    def _send_to_address(self, data, address):
+        self._socket.send(data, address.as_tuple())
+
+    def _on_datagram(self, datagram, source):
+        if isinstance(datagram, datagrams.RevisionNotice):
+            self._control.spreader.on_notice(datagram)
+
+    def _on_unreachable(self, destination):
+        agent = self._keeper.fleet.backend_server_at(
+            f'{destination[0]}:{destination[1]}'
+        )
+        if agent is not None:
+            self._suspects.add(agent.name)
+
+
+def make_agent(settings):
+    """Return an Agent on the system's clock.
+
+    Args:
+        settings: AgentSettings.
+
+    Raises:
+        OSError: The UDP address cannot be used.
+    """
+    return Agent(
+        settings, clock_module.make_system_clock(), random.SystemRandom()
+    )
--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -61,6 +61,7 @@
         self._on_datagram = on_datagram
         self._on_revision = on_revision
         self.counters = counters
+        self.started = False
         self.draining = False
         self.fleet = fleet
         self._tables = fleet_tables.FleetTables(fleet)
@@ -72,18 +73,21 @@
         self._previous_tables = self._tables
         self._tables = fleet_tables.FleetTables(fleet, self._tables)
 
-    def first_candidate(self, connection_id):
-        """Return the best agent other than this one, or None.
+    def receivers(self, connection_id):
+        """Return the names of the agents that may take a connection.
 
         Args:
             connection_id: The connection.
+
+        Returns:
+            A list in rank order, without this agent and without those that
+            did not answer lately.
         """
-        usable = (
+        return [
             name
             for name in self._candidates(connection_id)
             if name != self._name and name not in self._suspects
-        )
-        return next(usable, None)
+        ]
 
     def owner(self, connection_id):
         """Return the first candidate under the fleet in force, or None."""
@@ -108,6 +112,10 @@
             self.counters.malformed += 1
 
     def _on_envelope(self, envelope):
+        if not self.started:
+            # Dropped: the caller's side sends it again.
+            self.counters.not_started += 1
+            return
         if envelope.revision != self.fleet.revision:
             self._on_revision(
                 envelope.revision,
--- a/packages/agent/src/kingcupport/agent/data_path_counters.py
+++ b/packages/agent/src/kingcupport/agent/data_path_counters.py
@@ -10,6 +10,7 @@
     Args:
         datagrams: Received.
         malformed: Datagrams that could not be decoded.
+        not_started: Envelopes dropped before the fleet was known.
         wrong_service: Envelopes for another service, refused.
         passed_on: Packets sent on to another agent.
         unknown_connection: Packets answered with a reset because no agent
@@ -26,6 +27,7 @@
 
     datagrams: int = 0
     malformed: int = 0
+    not_started: int = 0
     wrong_service: int = 0
     passed_on: int = 0
     unknown_connection: int = 0
@@ -37,3 +39,8 @@
     handoffs_aborted: int = 0
     handoffs_undecided: int = 0
     reset: int = 0
+
+
+def counter_names():
+    """Return the names of the counters, in a tuple."""
+    return tuple(field.name for field in attrs.fields(DataPathCounters))
--- a/packages/agent/src/kingcupport/agent/settings.py
+++ b/packages/agent/src/kingcupport/agent/settings.py
@@ -57,5 +57,7 @@
     configuration_address: address.Address
     slots_count: int = settings.setting(1, minimum=1, maximum=1024)
     seeds: tuple[address.Address, ...] = ()
-    limits: LimitSettings = LimitSettings()
-    log: log_settings.LogSettings = log_settings.LogSettings()
+    limits: LimitSettings = attrs.field(factory=LimitSettings)
+    log: log_settings.LogSettings = attrs.field(
+        factory=log_settings.LogSettings
+    )
--- a/packages/connections/src/kingcupport/connections/connection.py
+++ b/packages/connections/src/kingcupport/connections/connection.py
@@ -137,8 +137,6 @@
         self._idle_deadline_ms = now_ms + self._limits.idle_timeout_ms
         if state.unparsed:
             self._parse(state.unparsed)
-        # Resends the unacknowledged output from the new owner.
-        self._output.write(b'')
 
     @property
     def idle(self):
@@ -156,8 +154,17 @@
         """Bytes of output that are kept for retransmission."""
         return self._output.buffered_bytes
 
-    def start(self):
-        """Start the connection's task."""
+    def start(self, pending_runner=None):
+        """Start the connection's task.
+
+        Args:
+            pending_runner: RequestRunner for the requests in the state from
+                which the connection continues; None for a new connection.
+        """
+        for pending in self._pending:
+            pending.start(pending_runner, self._wake.set)
+        # Sends the unacknowledged output of a continued connection again.
+        self._output.write(b'')
         self._task = gevent.spawn(self._run)
 
     def deliver(self, packet):
--- /dev/null
+++ b/packages/connections/src/kingcupport/connections/lent_runs.py
@@ -0,0 +1,109 @@
+"""Requests that run here for connections that moved to another agent."""
+
+from kingcupport.requests import answer as answer_module
+from kingcupport.wire import handoff_messages
+
+# The new owner asks again within this time after an answer is there.
+ANSWER_KEPT_MS = 30_000
+
+
+class LentRuns:
+    """Keeps the answers of such requests until the new owner has them.
+
+    Args:
+        name: Name of this agent.
+        keeper: Object with ``fleet``.
+        clock: Clock.
+    """
+
+    def __init__(self, name, keeper, clock):
+        self._name = name
+        self._keeper = keeper
+        self._clock = clock
+        self._runs = {}
+
+    def handlers(self):
+        """Return the handlers for the peer server."""
+        return {handoff_messages.AnswerFetch: self.on_fetch}
+
+    @property
+    def running_count(self):
+        """Number of requests without an answer yet."""
+        self._forget_old()
+        return sum(not run.result.ready() for run in self._runs.values())
+
+    @property
+    def unfetched_count(self):
+        """Number of requests whose answer the new owner does not have."""
+        self._forget_old()
+        return sum(not run.fetched for run in self._runs.values())
+
+    def add(self, pending):
+        """Keep requests that are about to be handed over.
+
+        Args:
+            pending: PendingRequest that have been started here.
+        """
+        self._forget_old()
+        for item in pending:
+            self._runs[item.request.request_id] = _LentRun(item)
+
+    def discard(self, pending):
+        """Forget requests whose connection stayed here."""
+        for item in pending:
+            self._runs.pop(item.request.request_id, None)
+
+    def on_fetch(self, message, peer):
+        """Return an AnswerFetched."""
+        run = self._runs.get(message.request_id)
+        if run is None:
+            return self._reply(message.request_id, known=False, answer=None)
+        if not run.result.ready():
+            return self._reply(message.request_id, known=True, answer=None)
+        run.fetched = True
+        return self._reply(
+            message.request_id, known=True, answer=run.result.get()
+        )
+
+    def _reply(self, request_id, known, answer):
+        ready = answer is not None
+        return handoff_messages.AnswerFetched(
+            sender=self._name,
+            revision=self._keeper.fleet.revision,
+            request_id=request_id,
+            known=known,
+            ready=ready,
+            status=answer.status if ready else 0,
+            headers=[list(pair) for pair in answer.headers] if ready else [],
+            body=answer.body if ready else b'',
+            outcome=str(answer.outcome) if ready else '',
+        )
+
+    def _forget_old(self):
+        now_ms = self._clock.monotonic_ms()
+        old = [
+            request_id
+            for request_id, run in self._runs.items()
+            if now_ms >= run.deadline_ms + ANSWER_KEPT_MS
+        ]
+        for request_id in old:
+            del self._runs[request_id]
+
+
+class _LentRun:
+    """One request that runs here for another agent's connection."""
+
+    def __init__(self, pending):
+        self.result = pending.result
+        self.deadline_ms = pending.request.deadline_ms
+        self.fetched = False
+
+
+def answer_from_message(message):
+    """Return the Answer in an AnswerFetched that is ready."""
+    return answer_module.Answer(
+        message.status,
+        tuple((bytes(n), bytes(v)) for n, v in message.headers),
+        message.body,
+        answer_module.Outcome(message.outcome),
+    )
--- a/packages/control/src/kingcupport/control/instance_list.py
+++ b/packages/control/src/kingcupport/control/instance_list.py
@@ -16,7 +16,7 @@
     code = 'instance_list_unavailable'
 
 
-class InstanceState(enum.Enum):
+class InstanceState(enum.StrEnum):
     """State of an instance as the platform reports it; it lags."""
 
     LIVE = 'live'
--- a/packages/control/src/kingcupport/control/peer_server.py
+++ b/packages/control/src/kingcupport/control/peer_server.py
@@ -62,6 +62,14 @@
         self._tasks = set()
         self._server = None
 
+    def add_handlers(self, handlers):
+        """Answer further message classes from now on.
+
+        Args:
+            handlers: ``handler(message, peer) -> reply`` by message class.
+        """
+        self._handlers.update(handlers)
+
     @property
     def address(self):
         """Address that the server listens on."""
