Refuse malformed notes and fleets with an error of their own

Cause: fuzzing found documents that ended in TypeError, RecursionError or ValueError instead of a ReleaseNoteError: an address that is a list, deeply nested TOML, integers of more than 4,300 digits, half of a surrogate pair, integers beyond 64 bits that msgpack cannot carry. A whole fleet was accepted with an entry named twice or an address used twice, which no note can do. Ruled out: catching Exception around the readers, which would hide faults of the readers themselves. Change: ranges and texts are checked when read; the checks of apply_release_note moved to documents.check_entries and hold for whole fleets too; messages show untrusted values shortened; the line search prefers a quoted value, so gate-1 is not found in gate-10. Conclusion: only KingcupportError comes out of the readers and codecs in 400 derandomized examples each.

--- a/packages/common/src/kingcupport/common/address.py
+++ b/packages/common/src/kingcupport/common/address.py
@@ -8,6 +8,8 @@
 from kingcupport.common import errors
 
 MAX_PORT = 65535
+# int() refuses texts of more than 4,300 digits with a ValueError.
+_MAX_PORT_DIGITS = 5
 
 
 class AddressError(errors.KingcupportError):
@@ -39,7 +41,6 @@
         return (self.ip, self.port)
 
 
-@functools.lru_cache(maxsize=16384)
 def parse_address(text):
     """Parse ``ip:port``.
 
@@ -53,24 +54,35 @@
         AddressError: The text has no port, a host name or a bad number.
     """
     if not isinstance(text, str):
-        raise AddressError(f'{text!r} is not text', step='parse_address')
+        raise AddressError(
+            f'{errors.shown(text)} is not text', step='parse_address'
+        )
+    return _parse_text(text)
+
+
+# Fleets name the same few thousand addresses again and again.
+@functools.lru_cache(maxsize=16384)
+def _parse_text(text):
     ip, separator, port = text.rpartition(':')
     if not separator:
-        raise AddressError(f'{text!r} has no port', step='parse_address')
+        raise AddressError(
+            f'{errors.shown(text)} has no port', step='parse_address'
+        )
     ip = ip.removeprefix('[').removesuffix(']')
     try:
         ipaddress.ip_address(ip)
     except ValueError:
         raise AddressError(
-            f'{text!r} does not start with an IP address', step='parse_address'
+            f'{errors.shown(text)} does not start with an IP address',
+            step='parse_address',
         ) from None
     if not port.isascii() or not port.isdigit():
         raise AddressError(
-            f'{text!r} has no numeric port', step='parse_address'
+            f'{errors.shown(text)} has no numeric port', step='parse_address'
         )
-    if not 1 <= int(port) <= MAX_PORT:
+    if len(port) > _MAX_PORT_DIGITS or not 1 <= int(port) <= MAX_PORT:
         raise AddressError(
-            f'{text!r} has a port outside 1 to {MAX_PORT}',
+            f'{errors.shown(text)} has a port outside 1 to {MAX_PORT}',
             step='parse_address',
         )
     return Address(ip, int(port))
--- a/packages/common/src/kingcupport/common/errors.py
+++ b/packages/common/src/kingcupport/common/errors.py
@@ -1,5 +1,22 @@
 """Base class of all errors that Kingcupport raises."""
 
+import reprlib
+
+# Keeps an error message on one line of readable length.
+MAX_SHOWN_LENGTH = 80
+_repr = reprlib.Repr()
+_repr.maxstring = MAX_SHOWN_LENGTH
+_repr.maxother = MAX_SHOWN_LENGTH
+
+
+def shown(value):
+    """Return an untrusted value as short text for an error message."""
+    try:
+        return _repr.repr(value)
+    except ValueError:
+        # Python refuses to print integers of more than 4,300 digits.
+        return f'a huge {type(value).__name__}'
+
 
 class KingcupportError(Exception):
     """An error with a code, the step and the peer at which it arose.
--- a/packages/fleet/src/kingcupport/fleet/documents.py
+++ b/packages/fleet/src/kingcupport/fleet/documents.py
@@ -15,6 +15,11 @@
     'backend_servers': backend_server.BackendServer,
 }
 
+# Greatest integer that every codec in use can carry.
+MAX_INTEGER = 2**63 - 1
+# Keeps a revision notice within one small datagram.
+MAX_DIGEST_LENGTH = 64
+
 
 class DocumentError(errors.KingcupportError):
     """A document that does not describe a fleet or a release note."""
@@ -47,16 +52,17 @@
     if not isinstance(plain, dict):
         raise DocumentError(f'{kind} entry is not a table', step='read_entry')
     fields = attrs.fields_dict(entry_class)
-    name = plain.get('name', '?')
+    name = errors.shown(plain.get('name', '?'))
     for key in plain:
         if key not in fields:
             raise DocumentError(
-                f'{kind} {name!r}: unknown field {key!r}', step='read_entry'
+                f'{kind} {name}: unknown field {errors.shown(key)}',
+                step='read_entry',
             )
     for key, field in fields.items():
         if key not in plain and field.default is attrs.NOTHING:
             raise DocumentError(
-                f'{kind} {name!r}: {key} is missing', step='read_entry'
+                f'{kind} {name}: {key} is missing', step='read_entry'
             )
     return entry_class(
         **{
@@ -78,22 +84,104 @@
             return address.parse_address(value)
         except address.AddressError as error:
             raise DocumentError(
-                f'{kind} {name!r}: {field.name}: {error.reason}',
+                f'{kind} {name}: {field.name}: {error.reason}',
                 step='read_entry',
             ) from None
     if type(value) is not field.type:
         raise DocumentError(
-            f'{kind} {name!r}: {field.name} is {value!r}, '
+            f'{kind} {name}: {field.name} is {errors.shown(value)}, '
             f'not {field.type.__name__}',
             step='read_entry',
         )
-    if field.type is int and value < 0:
+    if field.type is int and not 0 <= value <= MAX_INTEGER:
         raise DocumentError(
-            f'{kind} {name!r}: {field.name} is negative', step='read_entry'
+            f'{kind} {name}: {field.name} is not from 0 to {MAX_INTEGER}',
+            step='read_entry',
+        )
+    if field.type is str and not is_name(value):
+        raise DocumentError(
+            f'{kind} {name}: {field.name} is empty or not Unicode text',
+            step='read_entry',
         )
     return value
 
 
+def is_name(text):
+    """Return whether a text is not empty and can be encoded.
+
+    JSON can carry half of a surrogate pair, which no codec can write.
+    """
+    try:
+        return bool(text.encode())
+    except UnicodeEncodeError:
+        return False
+
+
+def is_revision(value):
+    """Return whether a value is an integer in the range of revisions."""
+    return type(value) is int and 0 <= value <= MAX_INTEGER
+
+
+def is_digest(value):
+    """Return whether a value is text of the length of a digest."""
+    return (
+        type(value) is str
+        and len(value) <= MAX_DIGEST_LENGTH
+        and is_name(value)
+    )
+
+
+def check_entries(entries):
+    """Check that the entries of a fleet fit together.
+
+    Args:
+        entries: Entries by name, by kind.
+
+    Raises:
+        DocumentError: A backend server names an unknown service or has no
+            slot or weight, or a name or an address is used twice.
+    """
+    for backend in entries['backend_servers'].values():
+        if backend.service not in entries['services']:
+            raise DocumentError(
+                f'backend server {backend.name!r} names the unknown '
+                f'service {backend.service!r}',
+                step='check_entries',
+            )
+        if backend.slots < 1 or backend.weight < 1:
+            raise DocumentError(
+                f'backend server {backend.name!r} needs at least one '
+                f'slot and a weight of at least 1',
+                step='check_entries',
+            )
+    shared = entries['balancers'].keys() & entries['backend_servers'].keys()
+    if shared:
+        raise DocumentError(
+            f'{min(shared)!r} names a balancer and a backend server',
+            step='check_entries',
+        )
+    _check_addresses(entries)
+
+
+def _check_addresses(entries):
+    users = [(s.address, s.name) for s in entries['services'].values()]
+    users += [(b.address, b.name) for b in entries['balancers'].values()]
+    users += [
+        (a, b.name)
+        for b in entries['backend_servers'].values()
+        for a in (b.agent_address, b.server_address)
+    ]
+    seen = {}
+    for used_address, name in users:
+        if used_address in seen:
+            raise DocumentError(
+                f'{name!r} and {seen[used_address]!r} share the address '
+                f'{used_address}',
+                step='check_entries',
+            )
+        seen[used_address] = name
+
+
 def fleet_to_plain(fleet):
     """Return a Fleet as dicts, lists and scalars.
 
@@ -120,7 +208,7 @@
         raise DocumentError('fleet is not a table', step='read_fleet')
     revision = plain.get('revision')
     digest = plain.get('digest')
-    if type(revision) is not int or revision < 0 or type(digest) is not str:
+    if not is_revision(revision) or not is_digest(digest):
         raise DocumentError(
             'fleet has no revision or digest', step='read_fleet'
         )
@@ -128,13 +216,7 @@
         kind: _entries_from_rows(kind, plain.get(kind))
         for kind in ENTRY_CLASSES
     }
-    for member in entries['backend_servers'].values():
-        if member.service not in entries['services']:
-            raise DocumentError(
-                f'backend server {member.name!r} names the unknown service '
-                f'{member.service!r}',
-                step='read_fleet',
-            )
+    check_entries(entries)
     return fleet_module.Fleet(revision, digest, **entries)
 
 
@@ -147,8 +229,11 @@
             f'a row of {kind} does not have {len(names)} fields',
             step='read_fleet',
         )
-    entries = (
+    entries = [
         entry_from_plain(kind, dict(zip(names, row, strict=True)))
         for row in rows
-    )
-    return {entry.name: entry for entry in entries}
+    ]
+    by_name = {entry.name: entry for entry in entries}
+    if len(by_name) != len(entries):
+        raise DocumentError(f'{kind} names an entry twice', step='read_fleet')
+    return by_name
--- a/packages/fleet/src/kingcupport/fleet/release_note.py
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import re
 import tomllib
 
 import attrs
@@ -13,6 +14,11 @@
 DIGEST_LENGTH = 32
 _KINDS = tuple(documents.ENTRY_CLASSES)
 _SECTIONS = ('added', 'changed', 'withdrawn')
+_ALLOWED = {
+    'revision': f'an integer from 0 to {documents.MAX_INTEGER}',
+    'base': f'an integer from 0 to {documents.MAX_INTEGER}',
+    'base_digest': 'the digest of the base fleet',
+}
 
 
 class ReleaseNoteError(errors.KingcupportError):
@@ -80,13 +86,14 @@
     for key in plain:
         if key not in allowed:
             raise ReleaseNoteError(
-                f'unknown key {key!r}; allowed: {", ".join(allowed)}',
+                f'unknown key {errors.shown(key)}; '
+                f'allowed: {", ".join(allowed)}',
                 step='read_note',
             )
-    revision = _read_scalar(plain, 'revision', int)
-    base = _read_scalar(plain, 'base', int)
-    base_digest = _read_scalar(plain, 'base_digest', str)
-    if base < 0 or revision <= base:
+    revision = _read_scalar(plain, 'revision', documents.is_revision)
+    base = _read_scalar(plain, 'base', documents.is_revision)
+    base_digest = _read_scalar(plain, 'base_digest', documents.is_digest)
+    if revision <= base:
         raise ReleaseNoteError(
             f'revision {revision} is not greater than base {base}',
             step='read_note',
@@ -101,11 +108,14 @@
     )
 
 
-def _read_scalar(plain, key, expected):
-    value = plain.get(key)
-    if type(value) is not expected:
+def _read_scalar(plain, key, is_valid):
+    if key not in plain:
+        raise ReleaseNoteError(f'{key} is missing', step='read_note')
+    value = plain[key]
+    if not is_valid(value):
         raise ReleaseNoteError(
-            f'{key} is {value!r}, not {expected.__name__}', step='read_note'
+            f'{key} is {errors.shown(value)}; allowed: {_ALLOWED[key]}',
+            step='read_note',
         )
     return value
 
@@ -116,8 +126,9 @@
         raise ReleaseNoteError(f'{section} is not a table', step='read_note')
     for kind, rows in tables.items():
         if kind not in _KINDS:
+            key = errors.shown(f'{section}.{kind}')
             raise ReleaseNoteError(
-                f'unknown key {section}.{kind}; allowed: {", ".join(_KINDS)}',
+                f'unknown key {key}; allowed: {", ".join(_KINDS)}',
                 step='read_note',
             )
         if not isinstance(rows, list):
@@ -146,13 +157,17 @@
 def _read_withdrawn(plain):
     tables = _read_section(plain, 'withdrawn')
     for kind, names in tables.items():
-        if any(type(name) is not str for name in names):
+        if any(not _is_name(name) for name in names):
             raise ReleaseNoteError(
                 f'withdrawn.{kind} is not a list of names', step='read_note'
             )
     return {kind: tuple(tables.get(kind, ())) for kind in _KINDS}
 
 
+def _is_name(value):
+    return type(value) is str and documents.is_name(value)
+
+
 def parse_release_note(text, source):
     """Parse the TOML text of a release note.
 
@@ -168,7 +183,9 @@
     """
     try:
         plain = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # Besides TOMLDecodeError: an integer of more than 4,300 digits and
+        # arrays nested too deeply.
         raise ReleaseNoteError(
             f'{source}: is not TOML: {error}', step='parse_note'
         ) from None
@@ -182,17 +199,18 @@
 
 
 def _find_line(text, reason):
-    # tomllib keeps no positions; the quoted word of the reason is looked up.
-    quoted = reason.split("'")[1:2]
-    if not quoted:
+    # tomllib keeps no positions; the first quoted word of the reason is
+    # looked up, as a quoted value if there is one, because a name can be
+    # part of a longer one.
+    word = next(iter(re.findall(r"'([^']+)'", reason)), None)
+    if word is None:
         return ''
-    numbers = (
-        number
-        for number, line in enumerate(text.splitlines(), start=1)
-        if quoted[0] in line
-    )
-    number = next(numbers, None)
-    return f' line {number}' if number else ''
+    lines = text.splitlines()
+    for sought in (f'"{word}"', f"'{word}'", word):
+        for number, line in enumerate(lines, start=1):
+            if sought in line:
+                return f' line {number}'
+    return ''
 
 
 def note_digest(note):
@@ -229,7 +247,10 @@
     entries = {
         kind: _apply_kind(getattr(fleet, kind), note, kind) for kind in _KINDS
     }
-    _check_entries(entries)
+    try:
+        documents.check_entries(entries)
+    except documents.DocumentError as error:
+        raise ReleaseNoteError(error.reason, step='apply_note') from None
     return fleet_module.Fleet(note.revision, note_digest(note), **entries)
 
 
@@ -271,47 +292,6 @@
     return attrs.evolve(entry, added_revision=revision)
 
 
-def _check_entries(entries):
-    for backend_server in entries['backend_servers'].values():
-        if backend_server.service not in entries['services']:
-            raise ReleaseNoteError(
-                f'backend server {backend_server.name!r} names the unknown '
-                f'service {backend_server.service!r}',
-                step='apply_note',
-            )
-        if backend_server.slots < 1 or backend_server.weight < 1:
-            raise ReleaseNoteError(
-                f'backend server {backend_server.name!r} needs at least one '
-                f'slot and a weight of at least 1',
-                step='apply_note',
-            )
-    shared = entries['balancers'].keys() & entries['backend_servers'].keys()
-    if shared:
-        raise ReleaseNoteError(
-            f'{min(shared)!r} names a balancer and a backend server',
-            step='apply_note',
-        )
-    _check_addresses(entries)
-
-
-def _check_addresses(entries):
-    users = [(s.address, s.name) for s in entries['services'].values()]
-    users += [(b.address, b.name) for b in entries['balancers'].values()]
-    users += [
-        (a, b.name)
-        for b in entries['backend_servers'].values()
-        for a in (b.agent_address, b.server_address)
-    ]
-    seen = {}
-    for address, name in users:
-        if address in seen:
-            raise ReleaseNoteError(
-                f'{name!r} and {seen[address]!r} share the address {address}',
-                step='apply_note',
-            )
-        seen[address] = name
-
-
 def difference_lines(fleet, note):
     """Describe a note in words, one line a change.
 
--- a/tests/control_support.py
+++ b/tests/control_support.py
@@ -169,3 +169,22 @@
             gevent.sleep(0.01)
         return True
     return False
+
+
+def make_large_fleet(services=520, balancers=640, hosts=5600):
+    """Return a fleet of the size that the design names."""
+    names = [f'service-{i:03}' for i in range(services)]
+    entries = [make_service(n, 1000 + i) for i, n in enumerate(names)]
+    entries += [
+        make_balancer(
+            f'balancer-{i:03}',
+            address_module.Address(f'10.200.{i // 250}.{i % 250}', 9000),
+        )
+        for i in range(balancers)
+    ]
+    entries += [
+        make_backend_server(f'host-{i:04}', names[i % services], i)
+        for i in range(hosts)
+    ]
+    note = make_note(fleet_module.Fleet(), added=entries)
+    return release_note.apply_release_note(fleet_module.Fleet(), note)
--- /dev/null
+++ b/tests/fleet/test_release_note.py
@@ -0,0 +1,272 @@
+"""Guards against notes that are half applied or fail without a clear line."""
+
+import copy
+
+import control_support as support
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import pytest
+
+from kingcupport.common import address
+from kingcupport.common import errors
+from kingcupport.fleet import documents
+from kingcupport.fleet import fleet as fleet_module
+from kingcupport.fleet import release_note
+
+GOOD = f"""revision = 1
+base = 0
+base_digest = "{fleet_module.EMPTY_DIGEST}"
+
+[[added.services]]
+name = "gate"
+address = "198.51.100.1:80"
+
+[[added.backend_servers]]
+name = "gate-1"
+service = "gate"
+agent_address = "10.0.0.1:9000"
+server_address = "10.0.0.1:8000"
+data_centre = "dakar"
+slots = 1
+"""
+
+# Deliberate errors of an operator, each with the whole message.
+BAD_TEXTS = [
+    (
+        ('"10.0.0.1:9000"', '"host-1:9000"'),
+        (
+            'bad_release_note: n.toml line 10: added.backend_servers '
+            "'gate-1': agent_address: 'host-1:9000' does not start with an "
+            'IP address (step=parse_note)'
+        ),
+    ),
+    (
+        ('slots = 1', 'slot_count = 1'),
+        (
+            'bad_release_note: n.toml line 10: added.backend_servers '
+            "'gate-1': unknown field 'slot_count' (step=parse_note)"
+        ),
+    ),
+    (
+        ('revision = 1', 'revision = "1"'),
+        (
+            "bad_release_note: n.toml line 1: revision is '1'; allowed: an "
+            'integer from 0 to 9223372036854775807 (step=parse_note)'
+        ),
+    ),
+    (
+        ('[[added.services]]', '[[added.service]]'),
+        (
+            "bad_release_note: n.toml line 5: unknown key 'added.service'; "
+            'allowed: services, balancers, backend_servers (step=parse_note)'
+        ),
+    ),
+    (
+        ('base = 0', 'base = '),
+        (
+            'bad_release_note: n.toml: is not TOML: Invalid value (at line 2, '
+            'column 8) (step=parse_note)'
+        ),
+    ),
+]
+
+BAD_ENTRIES = [
+    (
+        {'service': 'audio'},
+        "backend server 'gate-1' names the unknown service 'audio'",
+    ),
+    (
+        {'slots': 0},
+        (
+            "backend server 'gate-1' needs at least one slot and a weight "
+            'of at least 1'
+        ),
+    ),
+    (
+        {'server_address': address.Address('10.0.0.1', 9000)},
+        "'gate-1' and 'gate-1' share the address 10.0.0.1:9000",
+    ),
+]
+
+
+@pytest.mark.parametrize(('change', 'message'), BAD_TEXTS)
+def test_bad_text_gives_one_line_with_the_place(change, message):
+    text = GOOD.replace(*change)
+    assert text != GOOD
+    with pytest.raises(release_note.ReleaseNoteError) as caught:
+        release_note.parse_release_note(text, 'n.toml')
+    assert str(caught.value) == message
+
+
+@pytest.mark.parametrize(('change', 'reason'), BAD_ENTRIES)
+def test_contradictory_note_leaves_the_fleet_alone(change, reason):
+    fleet = fleet_module.Fleet()
+    before = copy.deepcopy(fleet)
+    plain = release_note.note_to_plain(
+        release_note.parse_release_note(GOOD, 'n.toml')
+    )
+    (entry,) = plain['added']['backend_servers']
+    entry.update(
+        {k: str(v) if k.endswith('address') else v for k, v in change.items()}
+    )
+    note = release_note.note_from_plain(plain)
+    with pytest.raises(release_note.ReleaseNoteError) as caught:
+        release_note.apply_release_note(fleet, note)
+    assert caught.value.reason == reason
+    assert fleet == before
+
+
+def test_digest_follows_the_chain():
+    # Guards against two histories with one digest.
+    note = release_note.parse_release_note(GOOD, 'n.toml')
+    first = release_note.apply_release_note(fleet_module.Fleet(), note)
+    second = release_note.apply_release_note(
+        first, support.make_note(first, 3)
+    )
+    other = release_note.apply_release_note(
+        first,
+        support.make_note(first, 3, added=[support.make_service('a', 9)]),
+    )
+    assert len({first.digest, second.digest, other.digest}) == 3
+
+
+def test_plain_forms_round_trip():
+    note = release_note.parse_release_note(GOOD, 'n.toml')
+    plain = release_note.note_to_plain(note)
+    assert release_note.note_from_plain(plain) == note
+    fleet = release_note.apply_release_note(fleet_module.Fleet(), note)
+    assert documents.fleet_from_plain(documents.fleet_to_plain(fleet)) == fleet
+
+
+@pytest.mark.parametrize(
+    ('change', 'reason'),
+    [
+        (lambda row: row, 'backend_servers names an entry twice'),
+        (
+            lambda row: ['gate-2', *row[1:]],
+            "'gate-2' and 'gate-1' share the address 10.0.0.1:9000",
+        ),
+    ],
+)
+def test_contradictory_fleet_is_refused(change, reason):
+    # Guards against a fleet that no release note could lead to.
+    plain = copy.deepcopy(_PLAIN_FLEET)
+    rows = plain['backend_servers']
+    rows.append(change(rows[0]))
+    with pytest.raises(documents.DocumentError) as caught:
+        documents.fleet_from_plain(plain)
+    assert caught.value.reason == reason
+
+
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from([2**63, 2**64, -1, 0])
+    | strategies.floats()
+    | strategies.text(strategies.characters(exclude_categories=()))
+    | strategies.sampled_from(
+        ['10.0.0.1:9000', '\ud800', 'gate', '', 'x' * 99]
+    )
+    | strategies.binary()
+)
+KEYS = strategies.sampled_from(
+    [
+        'revision',
+        'base',
+        'base_digest',
+        'digest',
+        'added',
+        'changed',
+        'withdrawn',
+        *support.KINDS,
+        'name',
+        'address',
+        'service',
+        'slots',
+    ]
+) | strategies.text(max_size=3)
+VALUES = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(KEYS, inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+FUZZ = hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+
+
+@strategies.composite
+def _damaged(draw, plain):
+    """Return a valid plain document with one value replaced."""
+    plain = copy.deepcopy(plain)
+    place = plain
+    while True:
+        keys = list(place) if isinstance(place, dict) else range(len(place))
+        key = draw(strategies.sampled_from(list(keys)))
+        inner = place[key]
+        if (
+            not isinstance(inner, dict | list)
+            or not inner
+            or draw(strategies.booleans())
+        ):
+            place[key] = draw(VALUES)
+            return plain
+        place = inner
+
+
+def _expect_only_our_errors(read, write, value):
+    try:
+        result = read(value)
+    except errors.KingcupportError as error:
+        assert '\n' not in str(error)
+        return
+    # What is accepted must be usable: it is hashed and sent to peers.
+    write(result)
+
+
+_PLAIN_NOTE = release_note.note_to_plain(
+    release_note.parse_release_note(GOOD, 'n.toml')
+)
+_PLAIN_FLEET = documents.fleet_to_plain(
+    release_note.apply_release_note(
+        fleet_module.Fleet(),
+        release_note.parse_release_note(GOOD, 'n.toml'),
+    )
+)
+
+
+@FUZZ
+@hypothesis.given(VALUES | _damaged(_PLAIN_NOTE))
+def test_any_plain_note_is_read_or_refused(value):
+    def write(note):
+        release_note.note_digest(note)
+        msgpack.packb(release_note.note_to_plain(note))
+
+    _expect_only_our_errors(release_note.note_from_plain, write, value)
+
+
+@FUZZ
+@hypothesis.given(VALUES | _damaged(_PLAIN_FLEET))
+def test_any_plain_fleet_is_read_or_refused(value):
+    def write(fleet):
+        msgpack.packb(documents.fleet_to_plain(fleet))
+
+    _expect_only_our_errors(documents.fleet_from_plain, write, value)
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.text(max_size=50)
+    | strategies.sampled_from(
+        ['a=' + '[' * 5000, 'a=' + '9' * 5000, 'revision=0x' + 'f' * 9999]
+    )
+)
+def test_any_text_is_parsed_or_refused(text):
+    _expect_only_our_errors(
+        lambda t: release_note.parse_release_note(t, 'n.toml'),
+        release_note.note_digest,
+        text,
+    )
