Decode peer messages without an unknown msgpack argument

Cause: decode_message passed max_buffer_size to msgpack.unpackb, which does not take it; every decode of a peer message raised TypeError. Ruled out: an Unpacker object; unpackb already bounds every length in the data by the size of the data. Change: an explicit check of the size replaces the argument. Before: 0 of 2 tests in tests/wire/test_message_codec.py pass; after: 2 of 2.

--- a/packages/wire/src/kingcupport/wire/message_codec.py
+++ b/packages/wire/src/kingcupport/wire/message_codec.py
@@ -100,8 +100,11 @@
     Raises:
         WireError: The bytes are not one valid message.
     """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise _decode_error(f'of {len(data)} bytes is too large', peer)
     try:
-        array = msgpack.unpackb(data, max_buffer_size=MAX_MESSAGE_BYTES)
+        # unpackb bounds every length in the data by the size of the data.
+        array = msgpack.unpackb(data)
     except (ValueError, msgpack.UnpackException, RecursionError) as error:
         raise _decode_error(f'is not msgpack: {error}', peer) from None
     return message_from_array(array, peer)
--- /dev/null
+++ b/tests/wire/test_message_codec.py
@@ -0,0 +1,20 @@
+"""Guards the codec of peer messages."""
+
+import pytest
+
+from kingcupport.wire import control_messages
+from kingcupport.wire import errors
+from kingcupport.wire import message_codec
+
+
+def test_round_trip():
+    """Decoding once passed an argument that msgpack does not take."""
+    message = control_messages.DifferenceReply('a', 7, [{'base': 6}], {})
+    data = message_codec.encode_message(message)
+    assert message_codec.decode_message(data) == message
+
+
+def test_too_large_message_is_refused_before_it_is_unpacked():
+    data = bytes(message_codec.MAX_MESSAGE_BYTES + 1)
+    with pytest.raises(errors.WireError, match='too large'):
+        message_codec.decode_message(data)
