Add the command line and find the line of a note's error

Cause: operators need to check, compare, compose and follow release notes. The line in a note's error was the first one that contains the entry's name anywhere, so an error in gate-1 pointed at gate-10 or at a comment. Ruled out: cleo's own error rendering, which prints several lines and always exits with 1; its tags in text that comes from notes and replies, which would let them control the terminal; tomlkit for positions, which has none either. Change: package cli with note new, check, diff and compose, status, route explain and audit; fleet.source_lines looks up section, name, key and value one after the other as whole words.

--- /dev/null
+++ b/packages/cli/src/kingcupport/cli/_command.py
@@ -0,0 +1,95 @@
+"""What the commands share: options, output for people and for programs."""
+
+import json
+
+import cleo.commands.command
+import cleo.formatters.formatter
+import cleo.helpers
+import cleo.io.outputs.output
+
+from kingcupport.cli import input_error
+from kingcupport.cli import input_files
+from kingcupport.cli import peer_client
+
+DEFAULT_TIMEOUT_MS = 2000
+MAX_TIMEOUT_MS = 600_000
+
+_RAW = cleo.io.outputs.output.Type.RAW
+
+JSON_OPTION = cleo.helpers.option(
+    'json', None, 'Print one JSON document for programs.'
+)
+FLEET_OPTION = cleo.helpers.option(
+    'fleet',
+    None,
+    'Fleet file that the note is based on (JSON, as "note compose" writes '
+    'it). Without it the base is revision 0, the empty fleet.',
+    flag=False,
+)
+TIMEOUT_OPTION = cleo.helpers.option(
+    'timeout-ms',
+    None,
+    'Milliseconds to wait for a process.',
+    flag=False,
+    default=str(DEFAULT_TIMEOUT_MS),
+)
+
+
+def printable(value):
+    """Return a value as text without characters that control a terminal."""
+    return ''.join(
+        character
+        if character.isprintable()
+        else character.encode('unicode_escape').decode()
+        for character in str(value)
+    )
+
+
+class Command(cleo.commands.command.Command):
+    """Base class of the commands."""
+
+    def print_line(self, text):
+        """Print one line as it is."""
+        self.io.write_line(printable(text), type=_RAW)
+
+    def print_text(self, text):
+        """Print several lines as they are."""
+        self.io.write(text, type=_RAW)
+
+    def print_json(self, document):
+        """Print a document of dicts, lists and scalars."""
+        self.print_text(json.dumps(_to_json(document), indent=2) + '\n')
+
+    def print_table(self, headers, rows):
+        """Print a table for people."""
+        escape = cleo.formatters.formatter.Formatter.escape
+        table = self.table(style='compact')
+        table.set_headers(list(headers))
+        table.set_rows([[escape(printable(c)) for c in row] for row in rows])
+        table.render()
+
+    def make_client(self):
+        """Return a PeerClient with the timeout of the option.
+
+        Raises:
+            InputError: The timeout is not a number or out of range.
+        """
+        timeout_ms = input_files.parse_number(
+            '--timeout-ms', self.option('timeout-ms'), MAX_TIMEOUT_MS
+        )
+        if timeout_ms == 0:
+            raise input_error.InputError(
+                '--timeout-ms', f'0; allowed: 1 to {MAX_TIMEOUT_MS}'
+            )
+        return peer_client.PeerClient(timeout_ms)
+
+
+def _to_json(value):
+    # Replies of other processes may hold bytes, also as keys.
+    if isinstance(value, dict):
+        return {str(key): _to_json(item) for key, item in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [_to_json(item) for item in value]
+    if value is None or isinstance(value, (bool, int, float, str)):
+        return value
+    return str(value)
--- /dev/null
+++ b/packages/cli/src/kingcupport/cli/input_files.py
@@ -0,0 +1,124 @@
+"""Reads the release notes and fleets that commands are given."""
+
+import json
+import pathlib
+
+from kingcupport.cli import input_error
+from kingcupport.common import address
+from kingcupport.fleet import documents
+from kingcupport.fleet import fleet as fleet_module
+from kingcupport.fleet import release_note
+from kingcupport.fleet import source_lines
+
+
+def read_text(path):
+    """Return the text of a file.
+
+    Raises:
+        InputError: The file cannot be read or is not UTF-8.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        raise input_error.InputError(path, error.strerror) from None
+    except ValueError:
+        # Not UTF-8, or a path with a null byte.
+        raise input_error.InputError(path, 'is not a UTF-8 file') from None
+
+
+def read_fleet(path):
+    """Return the Fleet in a JSON file as ``note compose`` writes it.
+
+    Args:
+        path: Path of the file, or None for revision 0, the empty fleet.
+
+    Raises:
+        InputError: The file is not a fleet.
+    """
+    if path is None:
+        return fleet_module.Fleet()
+    try:
+        return documents.fleet_from_plain(json.loads(read_text(path)))
+    except documents.DocumentError as error:
+        raise input_error.InputError(path, error.reason) from None
+    except (ValueError, RecursionError) as error:
+        raise input_error.InputError(path, f'is not JSON: {error}') from None
+
+
+def read_note(path):
+    """Return the text and the ReleaseNote of a TOML file.
+
+    Raises:
+        InputError: The file cannot be read.
+        ReleaseNoteError: It is not a release note.
+    """
+    text = read_text(path)
+    try:
+        return text, release_note.parse_release_note(text, path)
+    except RecursionError:
+        raise release_note.ReleaseNoteError(
+            f'{path}: is nested too deeply', step='parse_note'
+        ) from None
+
+
+def apply_note(fleet, path):
+    """Read a release note and apply it to a fleet.
+
+    Args:
+        fleet: The Fleet that the note is based on.
+        path: Path of the note's TOML file.
+
+    Returns:
+        The ReleaseNote and the Fleet after it.
+
+    Raises:
+        InputError: The file cannot be read.
+        ReleaseNoteError: The note is malformed or does not fit the fleet;
+            the reason starts with the path and, where known, the line.
+    """
+    text, note = read_note(path)
+    try:
+        return note, release_note.apply_release_note(fleet, note)
+    except release_note.ReleaseNoteError as error:
+        line = source_lines.find_line(text, error.reason)
+        place = f'{path} line {line}' if line else path
+        raise release_note.ReleaseNoteError(
+            f'{place}: {error.reason}', step=error.step
+        ) from None
+
+
+def parse_address(text):
+    """Return the Address in an argument.
+
+    Raises:
+        InputError: It is not ``ip:port``.
+    """
+    try:
+        return address.parse_address(text)
+    except address.AddressError as error:
+        raise input_error.InputError(
+            'address', f'{error.reason}; allowed: ip:port'
+        ) from None
+
+
+def parse_number(name, text, maximum):
+    """Return the whole number in an argument, decimal or ``0x`` hexadecimal.
+
+    Args:
+        name: Name of the argument or option.
+        text: What the user wrote.
+        maximum: Greatest number allowed; the least is 0.
+
+    Raises:
+        InputError: It is not such a number.
+    """
+    is_hexadecimal = text.startswith('0x')
+    try:
+        number = int(text, 16 if is_hexadecimal else 10)
+    except ValueError:
+        number = -1
+    if not 0 <= number <= maximum:
+        raise input_error.InputError(
+            name, f'{text!r}; allowed: a whole number from 0 to {maximum}'
+        )
+    return number
--- a/packages/fleet/src/kingcupport/fleet/release_note.py
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -9,6 +9,7 @@
 from kingcupport.common import errors
 from kingcupport.fleet import documents
 from kingcupport.fleet import fleet as fleet_module
+from kingcupport.fleet import source_lines
 
 DIGEST_LENGTH = 32
 _KINDS = tuple(documents.ENTRY_CLASSES)
@@ -175,26 +176,13 @@
     try:
         return note_from_plain(plain)
     except ReleaseNoteError as error:
-        line = _find_line(text, error.reason)
+        line = source_lines.find_line(text, error.reason)
+        place = f'{source} line {line}' if line else source
         raise ReleaseNoteError(
-            f'{source}{line}: {error.reason}', step='parse_note'
+            f'{place}: {error.reason}', step='parse_note'
         ) from None
 
 
-def _find_line(text, reason):
-    # tomllib keeps no positions; the quoted word of the reason is looked up.
-    quoted = reason.split("'")[1:2]
-    if not quoted:
-        return ''
-    numbers = (
-        number
-        for number, line in enumerate(text.splitlines(), start=1)
-        if quoted[0] in line
-    )
-    number = next(numbers, None)
-    return f' line {number}' if number else ''
-
-
 def note_digest(note):
     """Return the digest of the fleet that a note leads to.
 
--- /dev/null
+++ b/tests/cli/test_application.py
@@ -0,0 +1,57 @@
+"""Guards against tracebacks and undocumented exit codes on bad usage."""
+
+import subprocess
+import sys
+
+import cli_support
+import pytest
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'words'),
+    [
+        (['note'], ['"note" does not exist']),
+        (['note', 'check'], ['Not enough arguments']),
+        (['status', '--adress', '127.0.0.1:1'], ['--adress']),
+        (['status'], ['--fleet', '--address']),
+        (['status', '--address', 'localhost:1'], ['ip:port']),
+        (
+            ['status', '--address', '127.0.0.1:1', '--timeout-ms', '0'],
+            ['--timeout-ms'],
+        ),
+        (['audit'], ['--address']),
+        (['audit', '--address', '127.0.0.1:1', '--after', 'x'], ['--after']),
+        (['route', 'explain', '127.0.0.1:1', '7'], ['--balancer']),
+        (
+            ['route', 'explain', 'x', '7', '--balancer', '127.0.0.1:1'],
+            ['ip:port'],
+        ),
+        (
+            [
+                *('route', 'explain', '127.0.0.1:1', str(2**64)),
+                *('--balancer', '127.0.0.1:1'),
+            ],
+            ['connection_id', str(2**64 - 1)],
+        ),
+    ],
+)
+def test_bad_usage(arguments, words):
+    cli_support.assert_one_line(cli_support.run(*arguments), 2, *words)
+
+
+def test_commands_are_listed():
+    result = cli_support.run()
+    assert result.exit_code == 0
+    assert 'route explain' in result.output
+
+
+def test_program_reports_its_exit_code():
+    done = subprocess.run(
+        [sys.executable, '-m', 'kingcupport.cli', 'note', 'check', 'absent'],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    assert done.stdout == ''
+    assert done.stderr == 'kingcupport: absent: No such file or directory\n'
