Refuse numbers and names that no peer message can carry

Cause: a release note with the revision 10**23 or a service with such a retention time was accepted; msgpack encodes 64 bits, so every message that carries it fails with OverflowError. An empty name was accepted too. Ruled out: catching OverflowError in encode_message; the revision would be in force and could not be spread. Change: fleet.documents and release_note refuse integers above 2**63 - 1 and empty text, with the entry and the range.

--- a/packages/fleet/src/kingcupport/fleet/documents.py
+++ b/packages/fleet/src/kingcupport/fleet/documents.py
@@ -15,6 +15,10 @@
     'backend_servers': backend_server.BackendServer,
 }
 
+# msgpack encodes integers of at most 64 bits; a greater one would be accepted
+# and then fail in every message that carries it.
+MAX_INTEGER = 2**63 - 1
+
 
 class DocumentError(errors.KingcupportError):
     """A document that does not describe a fleet or a release note."""
@@ -87,9 +91,15 @@
             f'not {field.type.__name__}',
             step='read_entry',
         )
-    if field.type is int and value < 0:
+    if field.type is int and not 0 <= value <= MAX_INTEGER:
+        raise DocumentError(
+            f'{kind} {name!r}: {field.name} is {value}, not from 0 to '
+            f'{MAX_INTEGER}',
+            step='read_entry',
+        )
+    if value == '':
         raise DocumentError(
-            f'{kind} {name!r}: {field.name} is negative', step='read_entry'
+            f'{kind} {name!r}: {field.name} is empty', step='read_entry'
         )
     return value
 
@@ -120,10 +130,15 @@
         raise DocumentError('fleet is not a table', step='read_fleet')
     revision = plain.get('revision')
     digest = plain.get('digest')
-    if type(revision) is not int or revision < 0 or type(digest) is not str:
+    if type(revision) is not int or type(digest) is not str:
         raise DocumentError(
             'fleet has no revision or digest', step='read_fleet'
         )
+    if not 0 <= revision <= MAX_INTEGER:
+        raise DocumentError(
+            f'revision {revision} is not from 0 to {MAX_INTEGER}',
+            step='read_fleet',
+        )
     entries = {
         kind: _entries_from_rows(kind, plain.get(kind))
         for kind in ENTRY_CLASSES
--- a/packages/fleet/src/kingcupport/fleet/release_note.py
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -92,6 +92,11 @@
             f'revision {revision} is not greater than base {base}',
             step='read_note',
         )
+    if revision > documents.MAX_INTEGER:
+        raise ReleaseNoteError(
+            f'revision {revision} is greater than {documents.MAX_INTEGER}',
+            step='read_note',
+        )
     return ReleaseNote(
         revision,
         base,
