--- a/packages/fleet/src/kingcupport/fleet/release_note.py
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-import re
 import tomllib
 
 import attrs
@@ -10,6 +9,7 @@
 from kingcupport.common import errors
 from kingcupport.fleet import documents
 from kingcupport.fleet import fleet as fleet_module
+from kingcupport.fleet import source_lines
 
 DIGEST_LENGTH = 32
 _KINDS = tuple(documents.ENTRY_CLASSES)
@@ -98,6 +98,11 @@
             f'revision {revision} is not greater than base {base}',
             step='read_note',
         )
+    if revision > documents.MAX_INTEGER:
+        raise ReleaseNoteError(
+            f'revision {revision} is greater than {documents.MAX_INTEGER}',
+            step='read_note',
+        )
     return ReleaseNote(
         revision,
         base,
@@ -183,36 +188,25 @@
     """
     try:
         plain = tomllib.loads(text)
-    except (ValueError, RecursionError) as error:
-        # Besides TOMLDecodeError: an integer of more than 4,300 digits and
-        # arrays nested too deeply.
+    except RecursionError:
+        raise ReleaseNoteError(
+            f'{source}: is not TOML: nested too deeply', step='parse_note'
+        ) from None
+    except ValueError as error:
+        # Besides TOMLDecodeError: an integer of more than 4,300 digits.
         raise ReleaseNoteError(
             f'{source}: is not TOML: {error}', step='parse_note'
         ) from None
     try:
         return note_from_plain(plain)
     except ReleaseNoteError as error:
-        line = _find_line(text, error.reason)
+        line = source_lines.find_line(text, error.reason)
+        place = f'{source} line {line}' if line else source
         raise ReleaseNoteError(
-            f'{source}{line}: {error.reason}', step='parse_note'
+            f'{place}: {error.reason}', step='parse_note'
         ) from None
 
 
-def _find_line(text, reason):
-    # tomllib keeps no positions; the first quoted word of the reason is
-    # looked up, as a quoted value if there is one, because a name can be
-    # part of a longer one.
-    word = next(iter(re.findall(r"'([^']+)'", reason)), None)
-    if word is None:
-        return ''
-    lines = text.splitlines()
-    for sought in (f'"{word}"', f"'{word}'", word):
-        for number, line in enumerate(lines, start=1):
-            if sought in line:
-                return f' line {number}'
-    return ''
-
-
 def note_digest(note):
     """Return the digest of the fleet that a note leads to.
 
