Add the fabric stand-in and the kingcupport-standin program

Cause: callers speak TCP, balancers take packets; the end-to-end path needs something that cuts streams into packets, sprays them and puts the answers together, with losses that a test can set. Conclusion: ready for the balancer and the agent.

--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/__main__.py
@@ -0,0 +1,24 @@
+"""The kingcupport-standin program."""
+
+import sys
+
+from kingcupport.standins import backend_server_command
+from kingcupport.standins import command_line
+from kingcupport.standins import configuration_service_command
+from kingcupport.standins import fabric_command
+
+
+def main():
+    """Run a stand-in and return the exit code."""
+    return command_line.run(
+        'kingcupport-standin',
+        [
+            configuration_service_command.ConfigurationServiceCommand(),
+            backend_server_command.BackendServerCommand(),
+            fabric_command.FabricCommand(),
+        ],
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/fabric.py
@@ -0,0 +1,245 @@
+"""Stand-in for the fabric that sprays packets across balancers."""
+
+import collections
+import functools
+
+import attrs
+import gevent
+from gevent import server as gevent_server
+from gevent import socket
+
+from kingcupport.common import address as address_module
+from kingcupport.standins import fabric_connection
+from kingcupport.standins import fault_injector
+from kingcupport.wire import datagram_socket
+from kingcupport.wire import errors as wire_errors
+from kingcupport.wire import packet as packet_module
+
+BACKLOG = 4096
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+TICK_INTERVAL_MS = 20
+# Datagrams handled before other tasks get their turn.
+DATAGRAMS_A_TURN = 64
+MAX_ENDED_CONNECTIONS = 65_536
+_KIND = packet_module.PacketKind
+_ENDING_KINDS = frozenset((_KIND.OPENED, _KIND.DATA, _KIND.CLOSE))
+
+
+@attrs.frozen
+class _EndedConnection:
+    """What is left of a connection, to answer packets sent again.
+
+    Args:
+        stream_id: The agent's stream identifier.
+        ack: Positions received, or None when the connection was reset.
+    """
+
+    stream_id: int
+    ack: int | None
+
+
+class Fabric:
+    """Accepts TCP for each service and exchanges packets with the system.
+
+    Args:
+        return_address: UDP port that takes the answers; port 0 chooses one.
+        clock: Clock.
+        random: ``random.Random`` for connection identifiers and the choice of
+            a balancer. Two fabrics with the same seed would use the same
+            identifiers.
+        fault_random: ``random.Random`` for the faults.
+    """
+
+    def __init__(self, return_address, clock, random, fault_random):
+        self._clock = clock
+        self._random = random
+        self._balancers = []
+        self._listeners = {}
+        self._connections = {}
+        self._outstanding = {}
+        self._ended = collections.OrderedDict()
+        self.counts = collections.Counter()
+        self._injector = fault_injector.FaultInjector(
+            fault_random, self.counts
+        )
+        self._return_socket = _make_return_socket(return_address)
+        ip, port = self._return_socket.getsockname()[:2]
+        self.return_address = address_module.Address(ip, port)
+        self._tasks = []
+
+    @property
+    def faults(self):
+        """The FabricFaults in force; may be replaced at any time."""
+        return self._injector.faults
+
+    @faults.setter
+    def faults(self, faults):
+        self._injector.faults = faults
+
+    @property
+    def connection_count(self):
+        """Number of connections that have not ended."""
+        return len(self._connections)
+
+    @property
+    def balancer_count(self):
+        """Number of balancers that packets are handed to."""
+        return len(self._balancers)
+
+    @property
+    def service_count(self):
+        """Number of services listened for."""
+        return len(self._listeners)
+
+    def set_balancers(self, addresses):
+        """Replace the balancers that packets are handed to."""
+        self._balancers = sorted(addresses)
+
+    def set_services(self, addresses):
+        """Listen on these addresses and no longer on others.
+
+        Connections that are there stay.
+
+        Raises:
+            OSError: An address cannot be listened on.
+        """
+        for address in set(self._listeners) - set(addresses):
+            self._listeners.pop(address).close()
+        for address in set(addresses) - set(self._listeners):
+            listener = gevent_server.StreamServer(
+                address.as_tuple(),
+                functools.partial(self._carry, str(address)),
+                backlog=BACKLOG,
+            )
+            listener.start()
+            self._listeners[address] = listener
+
+    def start(self):
+        """Take answers and send again what is due, in tasks of their own."""
+        self._tasks = [gevent.spawn(self._receive), gevent.spawn(self._tick)]
+
+    def stop(self):
+        """Stop listening and reset the connections."""
+        self.set_services(())
+        for connection in list(self._connections.values()):
+            connection.end(fabric_connection.EndReason.FABRIC_STOPPED)
+        gevent.killall(self._tasks)
+        self._return_socket.close()
+
+    def _carry(self, service_address, sock, caller):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        caller_address = address_module.Address(*caller[:2])
+        connection = fabric_connection.FabricConnection(
+            sock,
+            self._random.getrandbits(64),
+            (str(caller_address), service_address, str(self.return_address)),
+            self._send_packet,
+            self._clock,
+            self._add_outstanding,
+        )
+        self.counts['accepted'] += 1
+        self._connections[connection.connection_id] = connection
+        try:
+            connection.run()
+        finally:
+            self._forget(connection)
+
+    def _forget(self, connection):
+        reason = connection.end_reason
+        self.counts[reason.value] += 1
+        del self._connections[connection.connection_id]
+        self._outstanding.pop(connection.connection_id, None)
+        closed = reason == fabric_connection.EndReason.CLOSED
+        self._ended[connection.connection_id] = _EndedConnection(
+            connection.stream_id, connection.next_offset if closed else None
+        )
+        if len(self._ended) > MAX_ENDED_CONNECTIONS:
+            self._ended.popitem(last=False)
+
+    def _add_outstanding(self, connection):
+        if connection.outstanding:
+            self._outstanding[connection.connection_id] = connection
+
+    def _tick(self):
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            for connection in list(self._outstanding.values()):
+                if connection.outstanding:
+                    connection.tick()
+                else:
+                    self._outstanding.pop(connection.connection_id, None)
+            self._clock.sleep_until(now_ms + TICK_INTERVAL_MS)
+
+    def _send_packet(self, packet):
+        self.counts['packets_sent'] += 1
+        if not self._balancers:
+            self.counts['no_balancer'] += 1
+            return
+        address = self._random.choice(self._balancers)
+        if str(address) in self.faults.cut_balancers:
+            self.counts['cut'] += 1
+            return
+        deliver = functools.partial(self._send_datagram, address)
+        self._injector.pass_on(deliver, packet_module.encode_packet(packet))
+
+    def _send_datagram(self, address, data):
+        try:
+            self._return_socket.sendto(data, address.as_tuple())
+        except OSError:
+            # As lost on the way; it is sent again.
+            self.counts['send_failed'] += 1
+
+    def _receive(self):
+        handled = 0
+        while True:
+            data = self._return_socket.recv(datagram_socket.MAX_DATAGRAM_BYTES)
+            self._injector.pass_on(self._process_datagram, data)
+            handled += 1
+            if handled % DATAGRAMS_A_TURN == 0:
+                gevent.sleep(0)
+
+    def _process_datagram(self, data):
+        try:
+            packet = packet_module.decode_packet(data)
+        except wire_errors.WireError:
+            self.counts['malformed'] += 1
+            return
+        self.counts['packets_received'] += 1
+        connection = self._connections.get(packet.connection_id)
+        if connection is None or connection.end_reason is not None:
+            self._answer_ended(packet)
+            return
+        addresses = (
+            packet.caller_address,
+            packet.service_address,
+            packet.return_address,
+        )
+        if addresses != connection.addresses:
+            self.counts['wrong_addresses'] += 1
+            return
+        connection.on_packet(packet)
+        self._add_outstanding(connection)
+
+    def _answer_ended(self, packet):
+        # RESET and ACK are not answered, so that no loop can arise.
+        if packet.kind not in _ENDING_KINDS:
+            return
+        ended = self._ended.get(packet.connection_id)
+        known = ended is not None and ended.stream_id == packet.stream_id
+        kind, ack = _KIND.RESET, 0
+        if known and ended.ack is not None:
+            kind, ack = _KIND.ACK, ended.ack
+        self.counts['answered_after_end'] += 1
+        self._send_packet(
+            attrs.evolve(
+                packet, kind=int(kind), offset=packet.ack, ack=ack, payload=b''
+            )
+        )
+
+
+def _make_return_socket(return_address):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+    sock.bind(return_address.as_tuple())
+    return sock
