Add the load tool

Cause: broken connections, lost, wrong or repeated requests and latency at the peak of a swing have to be measured from the caller's side. Ruled out: an HTTP client that reconnects by itself, which hides broken connections; the tool drives h11 over its own socket. Latency from the moment of sending, which hides the time in which all connections are busy; it counts from the planned arrival.

--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/caller_connection.py
@@ -0,0 +1,147 @@
+"""A caller's long-lived HTTP connection."""
+
+import attrs
+import gevent
+from gevent import socket
+import h11
+
+from kingcupport.common import errors
+
+READ_BYTES = 65_536
+CONNECT_TIMEOUT_MS = 20_000
+
+
+class ConnectionBrokenError(errors.KingcupportError):
+    """The other side ended the connection without saying so before."""
+
+    code = 'connection_broken'
+
+
+class AnswerTimeoutError(errors.KingcupportError):
+    """No whole answer came in time."""
+
+    code = 'answer_timeout'
+
+
+@attrs.frozen
+class CallerAnswer:
+    """One whole HTTP answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Value by name in lower case, both text.
+        body: The whole body.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+class CallerConnection:
+    """Sends requests one after the other over one TCP connection.
+
+    Args:
+        address: Address of the service.
+
+    Raises:
+        ConnectionBrokenError: It cannot be opened.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._http = h11.Connection(h11.CLIENT)
+        try:
+            self._sock = socket.create_connection(
+                address.as_tuple(), timeout=CONNECT_TIMEOUT_MS / 1000
+            )
+        except OSError as error:
+            raise self._broken('connect', error) from None
+        self._sock.settimeout(None)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @property
+    def reusable(self):
+        """Whether another request may be sent after the last answer."""
+        return self._http.our_state is h11.IDLE
+
+    def closed_by_other_side(self):
+        """Return whether an idle connection has been ended already."""
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            self._sock._sock.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        # Data or the end of the stream; neither belongs here.
+        return True
+
+    def exchange(self, method, target, headers, body, timeout_ms):
+        """Send a request and return its CallerAnswer.
+
+        Raises:
+            ConnectionBrokenError: The connection ended before the answer
+                was whole, or the bytes are no HTTP answer.
+            AnswerTimeoutError: The answer took longer than the timeout.
+        """
+        timeout_error = AnswerTimeoutError(
+            f'no answer within {timeout_ms} ms',
+            step='exchange',
+            peer=str(self._address),
+        )
+        try:
+            with gevent.Timeout(timeout_ms / 1000, timeout_error):
+                self._send(method, target, headers, body)
+                return self._receive()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise self._broken('exchange', error) from None
+
+    def _send(self, method, target, headers, body):
+        head = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('Host', str(self._address)),
+                ('Content-Length', str(len(body))),
+                *headers,
+            ],
+        )
+        data = self._http.send(head)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        self._sock.sendall(data)
+
+    def _receive(self):
+        head = self._next_event()
+        chunks = []
+        while isinstance(event := self._next_event(), h11.Data):
+            chunks.append(bytes(event.data))
+        if not isinstance(event, h11.EndOfMessage):
+            raise self._broken('exchange', 'answer is not whole')
+        if self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        headers = {
+            name.decode('latin-1'): value.decode('latin-1')
+            for name, value in head.headers
+        }
+        return CallerAnswer(head.status_code, headers, b''.join(chunks))
+
+    def _next_event(self):
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise self._broken('exchange', 'closed by the other side')
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(self._sock.recv(READ_BYTES))
+
+    def _broken(self, step, reason):
+        return ConnectionBrokenError(
+            str(reason), step=step, peer=str(self._address)
+        )
+
+    def close(self):
+        """Close the connection."""
+        self._sock.close()
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/caller_request.py
@@ -0,0 +1,99 @@
+"""Requests as the load tool makes them."""
+
+import attrs
+
+SHORT_TARGET = '/visits'
+KEYED_TARGET = '/bookings'
+
+
+@attrs.define
+class CallerRequest:
+    """One request with all attempts at it.
+
+    Args:
+        service: Name of the service.
+        method: HTTP method.
+        target: Request target.
+        body: The body.
+        idempotency_key: Key, or an empty text.
+        service_time_ms: Time that the server is asked to take.
+        straggler: Whether that is longer than usual.
+        arrival_ms: When the caller wanted to send it; latency counts from
+            here, also while no connection is free.
+        attempt_ids: ``X-Request-Id`` of each attempt.
+    """
+
+    service: str
+    method: str
+    target: str
+    body: bytes
+    idempotency_key: str
+    service_time_ms: float
+    straggler: bool
+    arrival_ms: float
+    attempt_ids: list = attrs.field(factory=list)
+
+    def headers(self, plan):
+        """Return the headers of the latest attempt, in a list of pairs."""
+        headers = [
+            ('X-Request-Id', self.attempt_ids[-1]),
+            ('X-Service-Time-Ms', f'{self.service_time_ms:.3f}'),
+            ('X-Answer-Bytes', str(plan.answer_bytes)),
+            ('Kingcupport-Timeout-Ms', str(plan.timeout_ms)),
+        ]
+        if self.idempotency_key:
+            headers.append(('Idempotency-Key', self.idempotency_key))
+        return headers
+
+
+class CallerRequestFactory:
+    """Makes requests in the mix of a plan.
+
+    Args:
+        plan: LoadPlan.
+        random: ``random.Random``.
+        run_id: Text that no other run uses, part of keys and identifiers.
+    """
+
+    def __init__(self, plan, random, run_id):
+        self._plan = plan
+        self._random = random
+        self._prefix = run_id
+        self._count = 0
+
+    def make(self, service, arrival_ms):
+        """Return a CallerRequest for a service."""
+        plan = self._plan
+        self._count += 1
+        share = self._random.uniform(0, 100)
+        keyed = share < plan.keyed_percent
+        unkeyed = not keyed and share < (
+            plan.keyed_percent + plan.unkeyed_percent
+        )
+        straggler = self._random.uniform(0, 100) < plan.straggler_percent
+        number = f'{self._prefix}-{self._count}'
+        return CallerRequest(
+            service=service,
+            method='POST' if keyed or unkeyed else 'GET',
+            target=f'{self._path(keyed, straggler)}?number={number}',
+            body=f'body-{number}'.encode() if keyed or unkeyed else b'',
+            idempotency_key=f'key-{number}' if keyed else '',
+            service_time_ms=self._service_time_ms(straggler),
+            straggler=straggler,
+            arrival_ms=arrival_ms,
+        )
+
+    def _path(self, keyed, straggler):
+        if straggler and self._plan.long_target != SHORT_TARGET:
+            return self._plan.long_target
+        return KEYED_TARGET if keyed else SHORT_TARGET
+
+    def _service_time_ms(self, straggler):
+        time_ms = self._random.uniform(0.5, 1.5) * self._plan.service_time_ms
+        return time_ms * self._plan.straggler_factor if straggler else time_ms
+
+    def next_attempt(self, request):
+        """Give a request the identifier of its next attempt."""
+        number = len(request.attempt_ids) + 1
+        self._count += 1
+        request.attempt_ids.append(f'{self._prefix}-{self._count}.{number}')
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/load/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupport-load program."""
