--- a/packages/cli/src/kingcupport/cli/input_files.py
+++ b/packages/cli/src/kingcupport/cli/input_files.py
@@ -53,12 +53,7 @@
         ReleaseNoteError: It is not a release note.
     """
     text = read_text(path)
-    try:
-        return text, release_note.parse_release_note(text, path)
-    except RecursionError:
-        raise release_note.ReleaseNoteError(
-            f'{path}: is nested too deeply', step='parse_note'
-        ) from None
+    return text, release_note.parse_release_note(text, path)
 
 
 def apply_note(fleet, path):
