--- a/packages/standins/src/kingcupport/standins/backend_server.py
+++ b/packages/standins/src/kingcupport/standins/backend_server.py
@@ -37,7 +37,16 @@
 
 
 class _SocketHandler(pywsgi.WSGIHandler):
-    """Hands the connection's socket to the application."""
+    """Hands the connection's socket to the application.
+
+    The WSGI server sends head and body of an answer apart. Without
+    TCP_NODELAY the body waits for the acknowledgement of the head, which the
+    other side may delay by 40 ms.
+    """
+
+    def handle(self):
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
 
     def get_environ(self):
         environ = super().get_environ()
--- /dev/null
+++ b/packages/standins/src/kingcupport/standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupport-demo program."""
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -182,3 +182,18 @@
 def test_unknown_behaviour_is_refused(server):
     with pytest.raises(json_client.JsonClientError, match='status 400'):
         _behave(server, speed=3)
+
+
+def test_answers_are_not_held_back(server):
+    # Without TCP_NODELAY, answers on a kept connection took 40 ms more.
+    _behave(server, service_time_ms=0)
+    client = geventhttpclient.HTTPClient(
+        server.address.ip, server.address.port, network_timeout=5
+    )
+    times = []
+    for _ in range(40):
+        started = time.monotonic()
+        client.get('/visits').read()
+        times.append(time.monotonic() - started)
+    client.close()
+    assert sorted(times)[20] < 0.02
