--- a/packages/fleet/src/kingcupport/fleet/release_note.py
+++ b/packages/fleet/src/kingcupport/fleet/release_note.py
@@ -183,9 +183,12 @@
     """
     try:
         plain = tomllib.loads(text)
-    except (ValueError, RecursionError) as error:
-        # Besides TOMLDecodeError: an integer of more than 4,300 digits and
-        # arrays nested too deeply.
+    except RecursionError:
+        raise ReleaseNoteError(
+            f'{source}: is not TOML: nested too deeply', step='parse_note'
+        ) from None
+    except ValueError as error:
+        # Besides TOMLDecodeError: an integer of more than 4,300 digits.
         raise ReleaseNoteError(
             f'{source}: is not TOML: {error}', step='parse_note'
         ) from None
