Share work and rebalance connections between the agents of a service

Cause: an added host drew connections by its buckets alone, whose share varies by about 9 %, and a drain gave connections away by rank alone. Ruled out: moving only connections whose first candidate is the new host; the first three candidates are asked for every connection, so any of them may own it. Change: the agent runs WorkSharing and PeerLoads; every 2 s an agent above the mean hands half of its excess in idle connections to less loaded candidates; a drain moves busy connections first, then returns queued requests, which the new owners run.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -20,13 +20,17 @@
 from kingcupport.control import control_plane
 from kingcupport.control import instance_list
 from kingcupport.control import polled_instance_list
+from kingcupport.fleet import service as service_module
 from kingcupport.observability import audit_trail
 from kingcupport.observability import health as health_module
 from kingcupport.observability import http_server
 from kingcupport.observability import metrics as metrics_module
 from kingcupport.requests import backend_port
 from kingcupport.requests import keyed_runner
+from kingcupport.requests import peer_loads
 from kingcupport.requests import scheduler as scheduler_module
+from kingcupport.requests import service_view
+from kingcupport.requests import work_sharing
 from kingcupport.routing import suspects as suspects_module
 from kingcupport.wire import datagram_socket
 from kingcupport.wire import datagrams
@@ -97,9 +101,21 @@
         port = backend_port.make_backend_port(
             settings.server_address, self._clock, settings.slots_count
         )
+        self._loads = peer_loads.PeerLoads(
+            self._clock, lambda: len(self._table)
+        )
+        sharing = work_sharing.make_work_sharing(
+            settings.name,
+            self._control.pool,
+            self._clock,
+            self._rng,
+            self._read_service_view,
+            self._loads,
+        )
         self._scheduler = scheduler_module.RequestScheduler(
-            port, self._clock, settings.slots_count
+            port, self._clock, settings.slots_count, sharing=sharing
         )
+        self._control.server.add_handlers(sharing.handlers())
         self._instances = polled_instance_list.PolledInstanceList(
             instance_list.make_http_instance_list(
                 settings.configuration_address
@@ -110,6 +126,19 @@
         )
         self._runner = None
 
+    def _read_service_view(self):
+        service = self._settings.service
+        fleet = self._keeper.fleet
+        if service in fleet.services:
+            return service_view.make_service_view(fleet, service)
+        return service_view.ServiceView(
+            service=service,
+            revision=fleet.revision,
+            hosts=(),
+            total_slots=0,
+            long_work_percent=service_module.DEFAULT_LONG_WORK_PERCENT,
+        )
+
     def _make_connections(self):
         settings = self._settings
         self._lent_runs = lent_runs.LentRuns(
@@ -148,6 +177,7 @@
             self._table,
             sender,
             self._clock,
+            self._loads,
             self.counters,
             self.audit,
         )
@@ -160,7 +190,7 @@
             settings.name,
             settings.limits.placement_bound_percent,
             lambda: len(self._table),
-            self._mean_connections,
+            self._loads.mean_connections,
         )
         return data_path_module.DataPath(
             name=settings.name,
@@ -202,6 +232,8 @@
             'connections': len(self._table),
             'redirects': self._table.redirect_count,
             'lent_runs': self._lent_runs.running_count,
+            'queued_requests': self._scheduler.queued,
+            'running_requests': self._scheduler.running,
             'revision': self._keeper.fleet.revision,
         }
 
@@ -246,6 +278,13 @@
         self._data_path.set_fleet(self._keeper.fleet)
         self._data_path.started = True
         self._check_own_entry(self._keeper.fleet)
+        self._tasks.append(
+            gevent.spawn(
+                self._mover.rebalance_forever,
+                self._settings.limits.rebalance_per_s,
+                lambda: self._data_path.draining,
+            )
+        )
         LOG.info(
             'agent started',
             extra={
@@ -263,21 +302,6 @@
             self.start_drain('withdrawn by a release note')
             return
         self._check_own_entry(fleet)
-        added = self._added_peers(previous, fleet)
-        if added and was_member:
-            self._tasks.append(
-                gevent.spawn(
-                    self._mover.rebalance,
-                    added,
-                    self._settings.limits.rebalance_per_s,
-                )
-            )
-
-    def _added_peers(self, previous, fleet):
-        service = self._settings.service
-        before = {m.name for m in previous.backend_servers_of(service)}
-        after = {m.name for m in fleet.backend_servers_of(service)}
-        return after - before
 
     def _check_own_entry(self, fleet):
         entry = fleet.backend_servers.get(self._settings.name)
@@ -306,18 +330,24 @@
         limits = self._settings.limits
         deadline_ms = self._clock.monotonic_ms() + limits.drain_timeout_ms
         self._data_path.draining = True
-        left = self._mover.move_all(deadline_ms)
+        self._mover.move_busy()
+        # Queued requests end as not run; the new owners of their connections
+        # run them.
         self._scheduler.drain()
+        left = self._mover.move_all(deadline_ms)
         if self._runner is not None:
             self._runner.drain(deadline_ms)
         while (
-            self._lent_runs.unfetched_count
+            self._has_work_for_others()
             and self._clock.monotonic_ms() < deadline_ms
         ):
             self._clock.sleep_until(self._clock.monotonic_ms() + _POLL_MS)
         self.audit.record('drain_finished', connections_left=left)
         self._drained.set()
 
+    def _has_work_for_others(self):
+        return self._lent_runs.unfetched_count or self._scheduler.running
+
     def wait_drained(self):
         """Block until the drain is over and stale balancers had time."""
         self._drained.wait()
@@ -330,6 +360,7 @@
         gevent.killall(self._tasks, block=False)
         if self._runner is not None:
             self._runner.stop()
+        self._scheduler.stop()
         self._control.stop()
         self._http.stop(timeout=1)
         self._socket.close()
@@ -341,9 +372,6 @@
             return 'starting'
         return 'too many connections' if self._table.full else ''
 
-    def _mean_connections(self):
-        return None
-
     def _send_packet(self, packet):
         self._data_path.send_packet(packet)
 
--- a/packages/agent/src/kingcupport/agent/connection_mover.py
+++ b/packages/agent/src/kingcupport/agent/connection_mover.py
@@ -1,17 +1,22 @@
 """Moves connections to the agents that should own them."""
 
+import collections
 import logging
 
 import gevent
 from gevent import pool
 
+from kingcupport.agent import placement
 from kingcupport.connections import handoff_sender
 
 LOG = logging.getLogger(__name__)
 
 PARALLEL_HANDOFFS = 32
-MAX_RECEIVERS = 4
+MAX_RECEIVERS = 3
 RETRY_WAIT_MS = 200
+REBALANCE_INTERVAL_MS = 2_000
+REBALANCE_PERCENT = 1
+MIN_EXCESS_CONNECTIONS = 1
 
 _Outcome = handoff_sender.HandoffOutcome
 
@@ -24,20 +29,33 @@
         table: ConnectionTable.
         sender: HandoffSender.
         clock: Clock.
+        loads: PeerLoads, for the other agents' connection counts.
         counters: DataPathCounters.
         audit: AuditTrail.
     """
 
-    def __init__(self, data_path, table, sender, clock, counters, audit):
+    def __init__(
+        self, data_path, table, sender, clock, loads, counters, audit
+    ):
         self._data_path = data_path
         self._table = table
         self._sender = sender
         self._clock = clock
+        self._loads = loads
         self._counters = counters
+        # Reports lag behind a drain, so its own handoffs are added to them.
+        self._moved_to = collections.Counter()
         self._audit = audit
 
+    def move_busy(self):
+        """Hand over the connections that have requests in progress."""
+        self._move_each([c for c in self._table.connections() if not c.idle])
+
+    def _move_each(self, connections):
+        pool.Pool(PARALLEL_HANDOFFS).map(self._move, connections)
+
     def move_all(self, deadline_ms):
-        """Hand every connection over; those with requests go first.
+        """Hand every connection over.
 
         Args:
             deadline_ms: Point after which no further attempt is made.
@@ -48,10 +66,7 @@
         start_ms = self._clock.monotonic_ms()
         before = self._counters.handed_over
         while True:
-            connections = self._table.connections()
-            connections.sort(key=lambda c: c.idle)
-            workers = pool.Pool(PARALLEL_HANDOFFS)
-            workers.map(self._move, connections)
+            self._move_each(self._table.connections())
             if not len(self._table):
                 break
             if self._clock.monotonic_ms() >= deadline_ms:
@@ -68,13 +83,22 @@
 
     def _move(self, connection):
         connection_id = connection.identity.connection_id
-        receivers = self._data_path.receivers(connection_id)[:MAX_RECEIVERS]
+        receivers = self._receivers_by_load(connection_id)
         for receiver in receivers:
             if connection.frozen or self._table.get(connection_id) is None:
                 return
             if self.move_to(connection, receiver) is not _Outcome.ABORTED:
                 return
 
+    def _receivers_by_load(self, connection_id):
+        """Return the agents to try: the least loaded candidate first."""
+        receivers = self._data_path.receivers(connection_id)[:MAX_RECEIVERS]
+        counts = self._loads.connections_by_peer()
+        return sorted(
+            receivers,
+            key=lambda name: counts.get(name, 0) + self._moved_to[name],
+        )
+
     def move_to(self, connection, receiver):
         """Hand one connection to a given agent.
 
@@ -84,6 +108,7 @@
         outcome = self._sender.hand_over(connection, receiver)
         if outcome is _Outcome.ADOPTED:
             self._counters.handed_over += 1
+            self._moved_to[receiver] += 1
         elif outcome is _Outcome.ABORTED:
             self._counters.handoffs_aborted += 1
         else:
@@ -91,22 +116,69 @@
             self._counters.reset += 1
         return outcome
 
-    def rebalance(self, added, per_s):
-        """Hand idle connections whose owner is now an added host to it.
+    def rebalance_forever(self, per_s, draining):
+        """Hand idle connections to less loaded agents, round by round.
+
+        Args:
+            per_s: Greatest number of handoffs a second.
+            draining: Returns whether the agent drains, which ends this.
+        """
+        while not draining():
+            self._clock.sleep_until(
+                self._clock.monotonic_ms() + REBALANCE_INTERVAL_MS
+            )
+            if not draining():
+                self.rebalance(per_s, draining)
+
+    def rebalance(self, per_s, draining):
+        """Run one round; half of the excess over the mean is handed over.
+
+        All agents run rounds on reports that lag, so that handing over the
+        whole excess would overshoot.
 
         Args:
-            added: Names of the hosts that the release note added.
-            per_s: Handoffs a second.
+            per_s: Greatest number of handoffs a second.
+            draining: Returns whether the agent drains, which ends the round.
+
+        Returns:
+            The number of connections handed over.
         """
+        mean = self._loads.mean_connections()
+        excess = len(self._table) - mean
+        if excess <= mean * REBALANCE_PERCENT / 100 + MIN_EXCESS_CONNECTIONS:
+            return 0
+        counts = self._loads.connections_by_peer()
+        below = {name: n for name, n in counts.items() if n < mean}
         moved = 0
         for connection in self._table.connections():
-            owner = self._data_path.owner(connection.identity.connection_id)
-            if owner not in added or connection.frozen or not connection.idle:
+            if moved >= excess / 2 or draining():
+                break
+            receiver = self._least_loaded(connection, below)
+            if receiver is None or connection.frozen or not connection.idle:
                 continue
-            if self.move_to(connection, owner) is _Outcome.ADOPTED:
+            if self.move_to(connection, receiver) is _Outcome.ADOPTED:
                 moved += 1
+                below[receiver] += 1
+                if below[receiver] >= mean:
+                    del below[receiver]
             gevent.sleep(1 / per_s)
         if moved:
-            self._audit.record(
-                'connections_rebalanced', count=moved, added=sorted(added)
-            )
+            self._audit.record('connections_rebalanced', count=moved)
+        return moved
+
+    def _least_loaded(self, connection, counts):
+        """Return the candidate of a connection with the lowest count.
+
+        Args:
+            connection: The Connection.
+            counts: Connection counts by agent name; others are left out.
+        """
+        receivers = self._data_path.receivers(
+            connection.identity.connection_id
+        )
+        usable = [
+            name
+            for name in receivers[: placement.MAX_OPEN_CANDIDATES]
+            if name in counts
+        ]
+        return min(usable, key=counts.get, default=None)
--- a/packages/agent/src/kingcupport/agent/settings.py
+++ b/packages/agent/src/kingcupport/agent/settings.py
@@ -19,7 +19,8 @@
         drain_timeout_ms: Longest time that a drain may take.
         placement_bound_percent: How far the number of connections may exceed
             the mean of the service before new ones are passed on.
-        rebalance_per_s: Idle connections handed to an added host a second.
+        rebalance_per_s: Idle connections handed to less loaded agents a
+            second.
     """
 
     max_connections_count: int = settings.setting(20_000, minimum=1)
--- a/packages/connections/src/kingcupport/connections/answer_fetcher.py
+++ b/packages/connections/src/kingcupport/connections/answer_fetcher.py
@@ -39,16 +39,17 @@
     def submit(self, request):
         """Return the answer from the former owner.
 
-        When the former owner died, an idempotent request runs again, a
-        claimed one is looked up under its key, and any other request ends as
-        unknown.
+        A request that the former owner certainly did not run, because it
+        drains, is run by the next runner. When the former owner died, an
+        idempotent request runs again, a claimed one is looked up under its
+        key, and any other request ends as unknown.
         """
         wait_ms = FIRST_WAIT_MS
         failures = 0
         while self._clock.monotonic_ms() < request.deadline_ms:
             reply = self._fetch(request)
             if reply is not None and reply.ready:
-                return lent_runs.answer_from_message(reply)
+                return self._use(reply, request)
             if reply is not None and not reply.known:
                 break
             failures = failures + 1 if reply is None else 0
@@ -62,6 +63,12 @@
             _Outcome.UNKNOWN, f'{self._owner} did not tell the answer'
         )
 
+    def _use(self, reply, request):
+        answer = lent_runs.answer_from_message(reply)
+        if answer.outcome == _Outcome.NOT_RUN:
+            return self._next_runner.submit(request)
+        return answer
+
     def _fetch(self, request):
         now_ms = self._clock.monotonic_ms()
         message = handoff_messages.AnswerFetch(
--- a/packages/requests/src/kingcupport/requests/peer_loads.py
+++ b/packages/requests/src/kingcupport/requests/peer_loads.py
@@ -57,6 +57,15 @@
         counts.append(self._count_connections())
         return sum(counts) / len(counts)
 
+    def connections_by_peer(self):
+        """Return the connection count of each fresh peer, by name."""
+        now_ms = self._clock.monotonic_ms()
+        return {
+            name: record.connections
+            for name, record in self._records.items()
+            if record.stale_at_ms > now_ms
+        }
+
     def fresh_count(self):
         """Return the number of peers whose report is not stale."""
         return len(list(self._fresh()))
