Test spreading with random faults and ask seeds without a fleet

Cause: a process that read an empty fleet from a stale service became ready, knew no peer and was in nobody's fleet; with the service down it never learnt of a later revision. Ruled out: refusing to be ready with an empty fleet that the service gave; a first process would then never be ready. Change: notices go to a seed while the fleet names nobody else; the handlers of the control plane are a class of their own, so that the state machine runs them; test ports lie below the ephemeral range, because an outgoing connection had taken a port between choosing and listening.

--- a/packages/control/src/kingcupport/control/control_plane.py
+++ b/packages/control/src/kingcupport/control/control_plane.py
@@ -4,14 +4,12 @@
 
 from kingcupport.control import configuration_poller
 from kingcupport.control import configuration_reader as reader_module
+from kingcupport.control import control_handlers
 from kingcupport.control import difference_puller
 from kingcupport.control import fleet_keeper
 from kingcupport.control import peer_pool
 from kingcupport.control import peer_server
 from kingcupport.control import revision_spreader
-from kingcupport.fleet import documents
-from kingcupport.fleet import release_note
-from kingcupport.wire import control_messages
 
 
 class ControlPlane:
@@ -54,62 +52,6 @@
         self.pool.close()
 
 
-class _ControlHandlers:
-    """Answers the control plane's own peer messages."""
-
-    def __init__(self, name, keeper, audit, counts, state, figures):
-        self._name = name
-        self._keeper = keeper
-        self._audit = audit
-        self._counts = counts
-        self._state = state
-        self._figures = figures
-
-    def by_message_class(self):
-        """Return the handlers for a PeerServer."""
-        return {
-            control_messages.DifferenceRequest: self.on_difference_request,
-            control_messages.StatusRequest: self.on_status_request,
-            control_messages.AuditRequest: self.on_audit_request,
-        }
-
-    def on_difference_request(self, message, peer):
-        """Return the DifferenceReply for an asker's revision."""
-        self._keeper.compare_digest(
-            message.revision, message.digest, message.sender
-        )
-        difference = self._keeper.differences_since(
-            message.revision, message.digest
-        )
-        fleet = difference.fleet
-        return control_messages.DifferenceReply(
-            self._name,
-            self._keeper.fleet.revision,
-            [release_note.note_to_plain(note) for note in difference.notes],
-            {} if fleet is None else documents.fleet_to_plain(fleet),
-        )
-
-    def on_status_request(self, message, peer):
-        """Return the StatusReply."""
-        fleet = self._keeper.fleet
-        return control_messages.StatusReply(
-            self._name,
-            fleet.revision,
-            fleet.digest,
-            self._state(),
-            self._keeper.conflicts,
-            {**self._counts, **self._figures()},
-        )
-
-    def on_audit_request(self, message, peer):
-        """Return the AuditReply."""
-        return control_messages.AuditReply(
-            self._name,
-            self._keeper.fleet.revision,
-            self._audit.events(message.after_sequence),
-        )
-
-
 def make_control_plane(
     *,
     name,
@@ -167,7 +109,7 @@
         counts=counts,
         seeds=seeds,
     )
-    own_handlers = _ControlHandlers(
+    own_handlers = control_handlers.ControlHandlers(
         name,
         keeper,
         audit,
--- a/packages/control/src/kingcupport/control/revision_spreader.py
+++ b/packages/control/src/kingcupport/control/revision_spreader.py
@@ -49,7 +49,7 @@
             counted.
         counts: collections.Counter of the process.
         seeds: Addresses of processes that are asked at start in addition to
-            those of the fleet.
+            those of the fleet, and later while the fleet is empty.
     """
 
     def __init__(
@@ -142,8 +142,14 @@
         self._puller.on_revision_seen(revision, address)
 
     def notify_random_peer(self):
-        """Send a notice to one random process of the fleet."""
-        others = self._sample_peers(1)
+        """Send a notice to one random process of the fleet.
+
+        A process with an empty fleet, or one that names only itself, asks a
+        seed instead; the seed answers if it knows more.
+        """
+        others = self._sample_peers(1) or self._rng.sample(
+            self._seeds, min(1, len(self._seeds))
+        )
         if others:
             self._send_notice(others[0])
 
--- a/tests/control_support.py
+++ b/tests/control_support.py
@@ -3,7 +3,9 @@
 import json
 import random
 
+import gevent
 import gevent.pywsgi
+import gevent.socket
 
 from kingcupport.common import address as address_module
 from kingcupport.common import clock as clock_module
@@ -19,6 +21,7 @@
 
 KINDS = ('services', 'balancers', 'backend_servers')
 MAX_NOTES = 64
+_PORTS = (15_000, 32_000)
 
 
 def make_note(fleet, revision=None, added=(), changed=(), withdrawn=None):
@@ -114,15 +117,30 @@
         return '200 OK', [release_note.note_to_plain(n) for n in later]
 
 
+def _bind_free_port():
+    """Return a UDP socket whose port is free for TCP too.
+
+    Ports below the ephemeral range are tried, because an outgoing connection
+    could take the port before the server listens on it.
+    """
+    while True:
+        address = ('127.0.0.1', random.randint(*_PORTS))
+        udp = gevent.socket.socket(type=gevent.socket.SOCK_DGRAM)
+        try:
+            udp.bind(address)
+            with gevent.socket.socket() as tcp:
+                tcp.bind(address)
+            return udp
+        except OSError:
+            udp.close()
+
+
 class Process:
     """A control plane with its UDP socket, as a program sets it up."""
 
     def __init__(self, name, reader=None, seeds=(), seed=0, **options):
         self.name = name
-        self._sock = gevent.socket.socket(
-            gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM
-        )
-        self._sock.bind(('127.0.0.1', 0))
+        self._sock = _bind_free_port()
         self.address = address_module.Address(*self._sock.getsockname())
         clock = clock_module.make_system_clock()
         self.audit = audit_trail.AuditTrail(clock)
