--- a/packages/fleet/src/kingcupport/fleet/documents.py
+++ b/packages/fleet/src/kingcupport/fleet/documents.py
@@ -212,6 +212,11 @@
         raise DocumentError(
             'fleet has no revision or digest', step='read_fleet'
         )
+    if not 0 <= revision <= MAX_INTEGER:
+        raise DocumentError(
+            f'revision {revision} is not from 0 to {MAX_INTEGER}',
+            step='read_fleet',
+        )
     entries = {
         kind: _entries_from_rows(kind, plain.get(kind))
         for kind in ENTRY_CLASSES
