Add fault tests with real processes

Ruled out: fixed ports; two runs at once would talk to each other. Change: tests/faults with a deployment of 3 balancers, 5 agents and 5 backend servers for each test.

--- /dev/null
+++ b/tests/fault_bed.py
@@ -0,0 +1,140 @@
+"""Runs a small deployment as processes, under load, for the fault tests."""
+
+import random
+
+import gevent
+
+from kingcupport.common import clock as clock_module
+from kingcupport.standins import deployment as deployment_module
+from kingcupport.standins import deployment_shape
+from kingcupport.standins import json_client
+from kingcupport.standins import load_plan
+from kingcupport.standins import load_run
+from kingcupport.standins import loopback_ports
+from kingcupport.standins import process_group
+
+START_TIMEOUT_MS = 30_000
+# Limit of docs/design.md 1.3 for a note to be in force everywhere.
+IN_FORCE_LIMIT_MS = 15_000
+# After that a withdrawn backend server gets no new work (design.md 1.3).
+NO_NEW_WORK_AFTER_MS = 3_000
+SEED = 20261204
+
+SHAPE = deployment_shape.DeploymentShape(
+    name='test',
+    data_centres=('dakar-plateau', 'saint-louis'),
+    balancers_count=3,
+    services=(
+        deployment_shape.ServiceShape('ticketing', 3),
+        deployment_shape.ServiceShape('audio', 2),
+    ),
+)
+
+
+class FaultBed:
+    """A deployment with its first release note in force.
+
+    Args:
+        directory: pathlib.Path for settings, published files and logs.
+    """
+
+    def __init__(self, directory):
+        self.clock = clock_module.make_system_clock()
+        self._random = random.Random(SEED)
+        self.group = process_group.ProcessGroup(directory, self.clock)
+        self.deployment = deployment_module.Deployment(
+            SHAPE,
+            self.group,
+            directory,
+            loopback_ports.LoopbackPorts(random.SystemRandom()),
+            self.clock,
+        )
+        self._run = None
+        self._task = None
+
+    def start(self):
+        """Start all processes and publish the first release note."""
+        self.deployment.start(START_TIMEOUT_MS)
+        self.deployment.publish(self.deployment.first_note())
+        self.deployment.wait_in_force(IN_FORCE_LIMIT_MS)
+
+    def stop(self):
+        """Stop all processes."""
+        if self._task is not None:
+            self._task.kill()
+        self.group.stop_all()
+
+    def members(self, service):
+        """Return the members of a service, or the balancers for ``''``."""
+        return [
+            m for m in self.deployment.members.values() if m.service == service
+        ]
+
+    def start_load(self, services=('ticketing', 'audio'), **plan):
+        """Open connections and send requests in the background.
+
+        Args:
+            services: Names of the services under load.
+            **plan: Fields of LoadPlan.
+        """
+        addresses = self.deployment.service_addresses
+        targets = tuple(
+            load_plan.LoadTarget(name, addresses[name]) for name in services
+        )
+        self._run = load_run.LoadRun(
+            load_plan.LoadPlan(targets=targets, **plan),
+            self.clock,
+            self._random,
+            f'run-{self._random.getrandbits(32):08x}',
+        )
+        self._run.open()
+        self._task = gevent.spawn(self._run.send)
+
+    def finish_load(self, left_out=()):
+        """Wait for the load's end and return the LoadReport.
+
+        Args:
+            left_out: Members whose backend server was killed.
+        """
+        self._task.get()
+        self._run.close()
+        self._run.check_runs(
+            [
+                m.server_address
+                for m in self.deployment.members.values()
+                if m.service and m not in left_out
+            ]
+        )
+        return self._run.report
+
+    def metric(self, member, name):
+        """Return the value of a metric of a process, by its short name."""
+        kind = 'agent' if member.service else 'balancer'
+        return member.probe().metrics()[f'kingcupport_{kind}_{name}']
+
+
+def sleep_ms(duration_ms):
+    """Wait while the load goes on."""
+    gevent.sleep(duration_ms / 1000)
+
+
+def assert_safe(report):
+    """Check what must hold under any fault, broken connections aside."""
+    errors = report.first_errors
+    assert report.answered > 0, errors
+    assert report.wrong == 0, errors
+    assert report.run_twice == 0, errors
+    assert report.ran_after_not_run == 0, errors
+    assert report.runs_not_read == 0, errors
+
+
+def assert_unharmed(report):
+    """Check that no caller noticed the change."""
+    assert_safe(report)
+    assert report.connections_broken == 0, report.first_errors
+    assert report.lost == 0, report.first_errors
+
+
+def call_json(address, method, path):
+    """Call an HTTP control port of a stand-in."""
+    return json_client.call(address, method, path)
