--- a/packages/requests/src/kingcupport/requests/work_sharing.py
+++ b/packages/requests/src/kingcupport/requests/work_sharing.py
@@ -12,6 +12,8 @@
 
 REPORT_INTERVAL_MS = 500
 REPORTED_PEERS = 3
+WAITING_INTERVAL_MS = 10
+MAX_WAITING_INTERVAL_MS = 80
 
 
 class WorkSharing:
@@ -31,6 +33,7 @@
         self._loads = loads
         self._scheduler = None
         self._room = event.Event()
+        self._work_waits = event.Event()
         self._tasks = []
         self.permits = long_permits.LongPermits(link, clock, rng)
         self.sender = work_sender.WorkSender(link, clock)
@@ -48,11 +51,15 @@
             self._make_report,
         )
         self.receiver = work_receiver.WorkReceiver(
-            self._link, self._clock, scheduler.start_transferred
+            self._link,
+            self._clock,
+            scheduler.start_transferred,
+            self.idle_peers.note_loaded,
         )
         self._room.set()
         self._tasks = [
             gevent.spawn(self._offer_room),
+            gevent.spawn(self._announce_waiting),
             gevent.spawn(self._exchange_loads),
         ]
 
@@ -62,6 +69,7 @@
             work_messages.WorkRequest: self.idle_peers.handle_request,
             work_messages.WorkTransfer: self.receiver.handle_transfer,
             work_messages.WorkPoll: self.receiver.handle_poll,
+            work_messages.WorkWaiting: self.handle_waiting,
             work_messages.LoadReport: self.handle_report,
             work_messages.PermitRequest: self.permits.handle_request,
             work_messages.PermitRelease: self.permits.handle_release,
@@ -69,7 +77,15 @@
 
     def handle_report(self, message, peer):
         """Keep a report and return the own one; handles LoadReport."""
-        self._loads.note(message)
+        self._note_report(message)
+        return self._make_report()
+
+    def handle_waiting(self, message, peer):
+        """Offer the next free slot to the sender; handles WorkWaiting."""
+        view = self._link.read_view()
+        if message.service == view.service and message.sender in view.hosts:
+            self.idle_peers.note_loaded(message.sender)
+            self._room.set()
         return self._make_report()
 
     def permit_share(self):
@@ -78,9 +94,13 @@
         return view.permits / max(1, len(view.hosts))
 
     def note_room(self):
-        """Tell that the scheduler has a free slot and no queued request."""
+        """Tell that the scheduler's room for work has changed."""
         self._room.set()
 
+    def note_waiting(self):
+        """Tell that requests wait and no peer has offered a slot."""
+        self._work_waits.set()
+
     def stop(self):
         """End the background tasks."""
         gevent.killall(self._tasks, block=False)
@@ -90,11 +110,34 @@
             self._room.wait()
             self._room.clear()
             self.idle_peers.offer(
-                lambda: self._scheduler.has_room,
-                self._room,
-                self._loads.note,
+                self._scheduler.room_in_ms, self._room, self._note_report
             )
 
+    def _announce_waiting(self):
+        interval_ms = WAITING_INTERVAL_MS
+        while True:
+            self._work_waits.wait()
+            if not self._scheduler.needs_peers():
+                self._work_waits.clear()
+                interval_ms = WAITING_INTERVAL_MS
+                continue
+            peers = self._link.peers()
+            count = min(idle_peers.SAMPLED_PEERS, len(peers))
+            for peer in self._rng.sample(peers, count):
+                self._link.notify(
+                    peer,
+                    self._link.make(
+                        work_messages.WorkWaiting,
+                        service=self._link.read_view().service,
+                    ),
+                )
+            self._clock.sleep_until(self._clock.monotonic_ms() + interval_ms)
+            interval_ms = min(2 * interval_ms, MAX_WAITING_INTERVAL_MS)
+
+    def _note_report(self, report):
+        self._loads.note(report)
+        self.idle_peers.note_report(report)
+
     def _exchange_loads(self):
         waiting = []
         while True:
@@ -106,7 +149,7 @@
                 self._rng.shuffle(waiting)
             for _ in range(min(REPORTED_PEERS, len(waiting))):
                 self._link.notify(
-                    waiting.pop(), self._make_report(), self._loads.note
+                    waiting.pop(), self._make_report(), self._note_report
                 )
             self._clock.sleep_until(
                 self._clock.monotonic_ms() + REPORT_INTERVAL_MS
