--- a/packages/requests/src/kingcupport/requests/claim_client.py
+++ b/packages/requests/src/kingcupport/requests/claim_client.py
@@ -10,7 +10,7 @@
 from kingcupport.requests import claim_record
 from kingcupport.wire import claim_messages
 
-CALL_TIMEOUT_MS = 1000
+CALL_TIMEOUT_MS = 500
 # How long a claim is retried, for example while peers take over keys after a
 # release note. The caller may retry for longer under the same key.
 CLAIM_WAIT_MS = 2000
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -85,14 +85,9 @@
     @property
     def complete(self):
         """Whether the index holds every claim of this agent's keys."""
-        if self._complete_from_ms is None:
-            return False
-        if self._context.now_ms() < self._complete_from_ms:
-            return False
-        if self._owned_views != [self.view.active]:
-            self._owned_views = [self.view.active]
-            self._losses.own_ms = 0
-        return True
+        return self._complete_from_ms is not None and (
+            self._context.now_ms() >= self._complete_from_ms
+        )
 
     def key_agent(self, key):
         """Return the name of a key's agent, or None without hosts."""
@@ -175,6 +170,7 @@
         """Return the ClaimListReply for a peer's ClaimListRequest."""
         context = self._context
         self.learn_fences(message.fences)
+        self._note_complete()
         self.epoch += 1
         known = self._note_incarnation(message.sender, message.incarnation)
         asked_view = claim_placement.make_claim_view(
@@ -251,6 +247,7 @@
         view = claim_placement.make_claim_view(members, self._generations)
         if view == self.view:
             return
+        self._note_complete()
         earlier = set(self.view.active)
         if self._complete_from_ms is None:
             earlier |= self._previous | self._required
@@ -356,6 +353,12 @@
             and not reply.loss_ms
         )
 
+    def _note_complete(self):
+        """Take a complete index as the base of later views."""
+        if self.complete:
+            self._owned_views = [self.view.active]
+            self._losses.own_ms = 0
+
     def _note_restart(self):
         """Note that this process runs on an outdated fleet after a restart."""
         if not self._losses.own_ms and not self.participating:
