Share that a host left in order, and count a restarted withdrawn host as lost

Cause: after a planned restart of one host, the restart of another one blocked its keys for the retention time, because only the peers of the first farewell knew that nothing was lost. Ruled out: taking every farewell over from peers; a peer that the farewell did not reach has not got the records, so only one that reached all counts. Change: ClaimFences keeps generations, farewells and departed hosts; a process whose host is not in the fleet reports a loss.

--- a/packages/requests/src/kingcupport/requests/claim_handover.py
+++ b/packages/requests/src/kingcupport/requests/claim_handover.py
@@ -58,6 +58,12 @@
             for peer in peers
             if not self._send_claims(peer, active, fences, deadline_ms)
         ]
+        if not failed:
+            message = self._message(
+                farewell=True, delivered=True, fences=fences
+            )
+            for peer in peers:
+                self._call(peer, message, deadline_ms)
         LOG.info('claim_farewell', extra={'failed': ','.join(failed)})
         return failed
 
@@ -81,7 +87,9 @@
             if self._adopt(record, status, headers, body):
                 accepted.append(record.attempt)
         if message.farewell:
-            self._rebuild.on_farewell(message.sender, message.fences)
+            self._rebuild.on_farewell(
+                message.sender, message.fences, message.delivered
+            )
         return accepted
 
     def _merge(self, record):
@@ -164,7 +172,15 @@
                 return True
             after_key = records[-1].key
 
-    def _message(self, *, fences, claims=(), results=(), farewell=False):
+    def _message(
+        self,
+        *,
+        fences,
+        claims=(),
+        results=(),
+        farewell=False,
+        delivered=False,
+    ):
         context = self._context
         return claim_messages.ClaimHandover(
             sender=context.name,
@@ -173,6 +189,7 @@
             claims=list(claims),
             results=list(results),
             farewell=farewell,
+            delivered=delivered,
             fences=fences,
         )
 
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -6,6 +6,7 @@
 import gevent
 
 from kingcupport.control import peer_caller
+from kingcupport.requests import claim_fences
 from kingcupport.requests import claim_index
 from kingcupport.requests import claim_instance_list
 from kingcupport.requests import claim_losses
@@ -47,11 +48,9 @@
         self._context = context
         self._index = index
         self._started_ms = context.now_ms()
-        self._generations = {}
+        self._fences = claim_fences.ClaimFences()
         self._incarnations = {}
-        self._farewells = set()
         self._losses = claim_losses.ClaimLosses(context.clock)
-        self._known_gone = set()
         self._previous = set()
         self._required = set()
         self._confirmed = set()
@@ -147,23 +146,16 @@
                 gevent.killall(tasks, block=False)
             self._evaluate()
 
-    def learn_fences(self, fences):
+    def learn_fences(self, generations):
         """Take over higher fence generations from a peer."""
-        known = self._generations
-        newer = {
-            name: generation
-            for name, generation in fences.items()
-            if isinstance(generation, int) and generation > known.get(name, 0)
-        }
+        newer = self._fences.learn(generations)
         if not newer:
             return
-        known.update(newer)
         self._rejoin_when_fenced()
-        rejoined = {name for name, g in newer.items() if g % 2 == 0}
-        self._farewells -= rejoined
         deadline_ms = self._context.now_ms() + self._context.retention_ms
-        for name in rejoined:
-            self._losses.note_return(name, deadline_ms)
+        for name in newer:
+            if not self._fences.absent(name):
+                self._losses.note_return(name, deadline_ms)
         self._change_view(self.view.members)
 
     def answer_list(self, message):
@@ -174,7 +166,7 @@
         self.epoch += 1
         known = self._note_incarnation(message.sender, message.incarnation)
         asked_view = claim_placement.make_claim_view(
-            map(tuple, message.members), self._generations
+            map(tuple, message.members), self.fences()
         )
         records, more = self._index.concerning(
             message.sender, asked_view.active, message.after_key
@@ -185,35 +177,41 @@
             revision=context.revision,
             incarnation=context.incarnation,
             members=[list(member) for member in self.view.members],
-            fences=dict(self._generations),
+            fences=self.fences(),
             claims=[claim_record.record_to_plain(r, now_ms) for r in records],
             more=more,
             complete=self._complete_from_ms is not None,
-            loss_ms=_remaining_ms(self._losses.own_ms, now_ms),
+            loss_ms=_remaining_ms(self._own_loss_ms(), now_ms),
             blind_ms=_remaining_ms(self._complete_from_ms or 0, now_ms),
             losses=self._losses.remaining(),
             unconfirmed=sorted(self._unconfirmed()),
+            departed=sorted(self._fences.departed),
             known_incarnation=known,
         )
 
     def fences(self):
         """Return the known fence generation by host name."""
-        return dict(self._generations)
+        return self._fences.generations()
 
     def begin_farewell(self):
         """Fence this agent itself; it grants and claims nothing from now."""
         self.draining = True
-        generation = self._generations.get(self._context.name, 0)
-        if generation % 2 == 0:
-            self._generations[self._context.name] = generation + 1
+        if not self._fences.absent(self._context.name):
+            self._fences.advance(self._context.name)
         self._change_view(self.view.members)
-        return dict(self._generations)
+        return self.fences()
+
+    def on_farewell(self, sender, fences, delivered):
+        """Note that an agent left after it handed over its records.
 
-    def on_farewell(self, sender, fences):
-        """Note that an agent left after it handed over its records."""
-        self._farewells.add(sender)
+        Args:
+            sender: Name of the agent.
+            fences: Fence generations there.
+            delivered: Whether it reached every peer, so that a peer that
+                restarts later need not take its records for lost.
+        """
         self.learn_fences(fences)
-        self._farewells.add(sender)
+        self._fences.note_left(sender, fences, delivered)
         self._evaluate()
 
     def _note_incarnation(self, peer, incarnation):
@@ -226,17 +224,23 @@
         self._incarnations[peer] = (earlier, incarnation)
         return earlier
 
+    def _own_loss_ms(self):
+        # A process whose host is not in the fleet cannot tell whether it is
+        # the first one there, or was restarted after its withdrawal.
+        if self._context.name in self.view.names or self.participating:
+            return self._losses.own_ms
+        return self._started_ms + self._context.retention_ms
+
     def _unconfirmed(self):
         if self._complete_from_ms is not None:
             return set()
-        return self._required - self._confirmed - self._farewells
+        return self._required - self._confirmed - self._fences.left
 
     def _rejoin_when_fenced(self):
         name = self._context.name
-        generation = self._generations.get(name, 0)
-        if generation % 2 and not self.draining:
+        if self._fences.absent(name) and not self.draining:
             self._owned_views = None
-            self._generations[name] = generation + 1
+            self._fences.advance(name)
 
     def _on_accept(self, previous_fleet, fleet):
         members = claim_placement.members_of(fleet, self._context.service)
@@ -244,7 +248,7 @@
             self._change_view(members)
 
     def _change_view(self, members):
-        view = claim_placement.make_claim_view(members, self._generations)
+        view = claim_placement.make_claim_view(members, self.fences())
         if view == self.view:
             return
         self._note_complete()
@@ -276,17 +280,11 @@
         states = self._context.instance_list.states()
         if states.get(self._context.name) == claim_instance_list.GONE:
             return
-        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
-        # A host that rejoined while the list still calls it gone is alive.
-        fresh = (gone - self._known_gone) & set(self.view.active)
-        self._known_gone = gone
-        if fresh:
-            LOG.warning(
-                'claim_fence', extra={'hosts': ','.join(sorted(fresh))}
-            )
-            self.learn_fences(
-                {n: self._generations.get(n, 0) + 1 for n in fresh}
-            )
+        gone = self._fences.newly_gone(states, self.view.active)
+        if gone:
+            LOG.warning('claim_fence', extra={'hosts': ','.join(sorted(gone))})
+            known = self.fences()
+            self.learn_fences({name: known.get(name, 0) + 1 for name in gone})
 
     def _ask(self, peer):
         context = self._context
@@ -298,7 +296,7 @@
                 revision=context.revision,
                 incarnation=context.incarnation,
                 members=[list(member) for member in epoch_view.members],
-                fences=dict(self._generations),
+                fences=self.fences(),
                 after_key=after_key,
             )
             deadline_ms = context.now_ms() + ASK_TIMEOUT_MS
@@ -335,6 +333,8 @@
             return
         self._note_incarnation(peer, reply.incarnation)
         self._confirmed.add(peer)
+        for name in reply.departed:
+            self._fences.note_left(name, reply.fences, True)
         self._losses.note_answer(peer, reply.loss_ms, reply.blind_ms)
         known = self._confirmed | {self._context.name}
         self._losses.note_others(
@@ -381,7 +381,7 @@
     def _all_answered(self):
         states = self._context.instance_list.states()
         absent = set(self.view.names) - set(self.view.active)
-        missing = self._required - self._confirmed - self._farewells
+        missing = self._required - self._confirmed - self._fences.left
         lost = {
             name
             for name in missing
--- a/packages/wire/src/kingcupport/wire/claim_messages.py
+++ b/packages/wire/src/kingcupport/wire/claim_messages.py
@@ -179,6 +179,7 @@
         blind_ms: Time until all claims that it may have missed expire.
         losses: The same by name for hosts that are gone.
         unconfirmed: Names of hosts whose answer it still waits for.
+        departed: Names of hosts that handed over to every peer and left.
         known_incarnation: The asker's incarnation that it knew before, or
             the present one.
     """
@@ -195,6 +196,7 @@
     blind_ms: int
     losses: dict
     unconfirmed: list
+    departed: list
     known_incarnation: int
 
 
@@ -254,6 +256,7 @@
             outcome is unknown; the receiver becomes the holder.
         farewell: Whether these are the last records; the receiver then
             fences the sender without having to ask it.
+        delivered: Whether every peer has taken the farewell.
         fences: Fence generations at the sender, including its own.
     """
 
@@ -263,6 +266,7 @@
     claims: list
     results: list
     farewell: bool
+    delivered: bool
     fences: dict
 
 
--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -122,6 +122,18 @@
     assert ask(simulation, 'd', key) == 504
 
 
+def test_restart_of_a_withdrawn_key_agent_and_the_holder(simulation):
+    """The state machine found that a withdrawn host reported no loss."""
+    key = key_of('b', 'c')
+    assert ask(simulation, 'a', key) == 200
+    simulation.publish(withdrawn=['b'])
+    restart(simulation, 'b')
+    restart(simulation, 'a')
+    accept(simulation, 'cd')
+    simulation.advance(1000)
+    assert ask(simulation, 'd', key) == 504
+
+
 def test_restart_that_reads_a_fleet_from_before_the_first_note(simulation):
     """An outdated configuration must not pass for a first start."""
     key = key_of('a')
@@ -202,7 +214,19 @@
     assert ask(simulation, 'a', key) == 504
 
 
-def test_restart_of_an_only_host_while_a_second_one_joins(simulation):
+def test_two_withdrawn_hosts_that_do_not_answer(simulation):
+    """Behind the partition they can still grant to each other."""
+    key = key_of('b')
+    cut_off(simulation, 'ac', 'bd')
+    simulation.publish(withdrawn=['b', 'd'])
+    accept(simulation, 'ac')
+    simulation.advance(RETENTION_MS)
+    assert ask(simulation, 'd', key) == 200
+    assert ask(simulation, 'a', key) == 504
+
+
+@pytest.mark.parametrize('wait_ms', [0, 150, 300, 450])
+def test_restart_of_an_only_host_while_a_second_one_joins(simulation, wait_ms):
     """Claims of an only host had no copy that the new host could have."""
     simulation.publish(withdrawn=['b', 'c', 'd'])
     accept(simulation, NAMES)
@@ -216,6 +240,7 @@
     simulation.publish(added=['b'])
     accept(simulation, 'b')
     restart(simulation, 'a')
+    simulation.advance(wait_ms)
     simulation.heal()
     simulation.advance(1000)
     assert ask(simulation, 'b', key) == 504
@@ -342,6 +367,27 @@
     assert len(simulation.runs[key]) == 1
 
 
+def test_drain_while_the_holder_restarts(simulation):
+    """The leaving key agent is the last one that knows the claim."""
+    key = key_of('b')
+    assert ask(simulation, 'a', key) == 200
+    simulation.kill('a')
+    simulation.agents['b'].drain(5000)
+    simulation.advance(6000)
+    simulation.start('a')
+    simulation.advance(1000)
+    assert ask(simulation, 'c', key) == 504
+
+
+def test_drained_host_does_not_count_as_lost_memory(simulation):
+    """A planned restart of one host after another must refuse nothing."""
+    simulation.agents['b'].drain(5000)
+    simulation.advance(6000)
+    restart(simulation, 'a')
+    simulation.advance(1000)
+    assert simulation.agents['a'].runner.ready
+
+
 def test_note_that_adds_an_unreachable_host_during_claims(simulation):
     """Keys that stay with their agent need no answer of the new host."""
     simulation.start('e')
