--- /dev/null
+++ b/bench/claim_cost.py
@@ -0,0 +1,249 @@
+"""Costs of at-most-once execution: availability, latency and memory.
+
+Availability and latency come from the shipped code over the simulation of
+the tests (simulated time, 0.5 ms one way between agents); processor time and
+memory are measured on this machine. Run from the root of the repository::
+
+    PYTHONPATH=tests python bench/claim_cost.py
+"""
+
+import random
+import time
+import tracemalloc
+
+import claim_simulation
+
+from kingcupport.common import clock as clock_module
+from kingcupport.requests import answer as answer_module
+from kingcupport.requests import claim_index
+from kingcupport.requests import claim_record
+from kingcupport.requests import keyed_results
+from kingcupport.wire import claim_messages
+from kingcupport.wire import message_codec
+
+HOSTS = tuple(f'gate-{number}' for number in range(1, 8))
+RETENTION_MS = 60_000
+REQUEST_INTERVAL_MS = 20
+WARM_UP_MS = 2000
+RECORDS = 20_000
+REQUESTS = 500
+
+
+class Load:
+    """Sends keyed requests at a steady rate to hosts picked at random.
+
+    Args:
+        simulation: The Simulation.
+    """
+
+    def __init__(self, simulation):
+        self._simulation = simulation
+        self._randomness = random.Random(7)
+        self._sent = []
+
+    def send_for(self, duration_ms):
+        """Send one request each interval to an agent that is alive."""
+        for _ in range(round(duration_ms / REQUEST_INTERVAL_MS)):
+            agents = self._simulation.agents.values()
+            agent = self._randomness.choice([a for a in agents if a.alive])
+            key = f'booking-{len(self._sent)}'
+            task = agent.submit(key, timeout_ms=5000)
+            self._sent.append((self._simulation.now_ms, task))
+            self._simulation.advance(REQUEST_INTERVAL_MS)
+
+    def report(self, label, since_ms):
+        """Print the share of refused requests and how long it lasted."""
+        self._simulation.advance(6000)
+        answered = [
+            (sent_ms - since_ms, task.get(block=False))
+            for sent_ms, task in self._sent
+            if sent_ms >= since_ms and task.ready()
+        ]
+        refused = [ms for ms, answer in answered if answer.status != 200]
+        last_ms = max(refused, default=0)
+        during = [ms for ms, _ in answered if ms <= last_ms]
+        share = 100 * len(refused) / max(1, len(during))
+        print(
+            f'{label:<44} refused={len(refused):5d} of {len(answered):5d}  '
+            f'last_after_s={last_ms / 1000:6.2f}  '
+            f'share_until_then={share:5.1f} %'
+        )
+
+
+def start_service(hosts=HOSTS):
+    """Return a simulated service and its load, warmed up."""
+    simulation = claim_simulation.Simulation(retention_ms=RETENTION_MS)
+    simulation.start_first_fleet(hosts)
+    load = Load(simulation)
+    load.send_for(WARM_UP_MS)
+    return simulation, load
+
+
+def measure_until_listed_as_gone(hosts, lag_ms):
+    """Let a host die; the instance list says so after a lag."""
+    simulation, load = start_service(hosts)
+    died_ms = simulation.now_ms
+    simulation.kill(hosts[0])
+    load.send_for(lag_ms)
+    simulation.platform_says(hosts[0], 'gone')
+    load.send_for(5000)
+    lag_s = round(lag_ms / 1000)
+    load.report(
+        f'{len(hosts)} hosts, dies, listed as gone after {lag_s} s', died_ms
+    )
+
+
+def measure_until_note(hosts, lag_ms):
+    """Let a host die; a release note withdraws it after a while."""
+    simulation, load = start_service(hosts)
+    died_ms = simulation.now_ms
+    simulation.kill(hosts[0])
+    load.send_for(lag_ms)
+    simulation.publish(withdrawn=[hosts[0]])
+    for agent in simulation.agents.values():
+        if agent.alive:
+            agent.accept(simulation.fleets[-1])
+            load.send_for(200)
+    load.send_for(5000)
+    load.report(
+        f'{len(hosts)} hosts, dies, withdrawn after {lag_ms / 1000:.0f} s',
+        died_ms,
+    )
+
+
+def measure_until_restart(hosts, lag_ms, restarted):
+    """Let hosts die and restart at once after a while."""
+    simulation, load = start_service(hosts)
+    died_ms = simulation.now_ms
+    for name in hosts[:restarted]:
+        simulation.kill(name)
+    load.send_for(lag_ms)
+    for name in hosts[:restarted]:
+        simulation.start(name)
+    load.send_for(RETENTION_MS + 10_000 if restarted > 1 else 5000)
+    load.report(
+        f'{len(hosts)} hosts, {restarted} restart after {lag_ms / 1000:.0f} s',
+        died_ms,
+    )
+
+
+def measure_planned(hosts):
+    """Drain a host, and add one, under load."""
+    simulation, load = start_service(hosts)
+    begin_ms = simulation.now_ms
+    simulation.agents[hosts[0]].drain(5000)
+    load.send_for(5000)
+    load.report(f'{len(hosts)} hosts, one drains', begin_ms)
+    simulation, load = start_service(hosts)
+    begin_ms = simulation.now_ms
+    simulation.start('gate-new')
+    simulation.publish(added=['gate-new'])
+    for agent in simulation.agents.values():
+        agent.accept(simulation.fleets[-1])
+        load.send_for(200)
+    load.send_for(5000)
+    load.report(f'{len(hosts)} hosts, note adds one, 200 ms a host', begin_ms)
+
+
+def measure_request():
+    """Print messages and simulated latency of a claimed request."""
+    for keyed in (False, True):
+        simulation, _ = start_service()
+        simulation.advance(6000)
+        sent = simulation.messages
+        began_ms = simulation.now_ms
+        latencies_ms = []
+        for number in range(REQUESTS):
+            agent = simulation.agents[HOSTS[number % len(HOSTS)]]
+            started_ms = simulation.now_ms
+            task = agent.submit(f'cost-{number}' if keyed else '')
+            while not task.ready():
+                simulation.advance(0.1)
+            latencies_ms.append(simulation.now_ms - started_ms)
+        idle_s = (simulation.now_ms - began_ms) / 1000
+        print(
+            f'{"claimed" if keyed else "unclaimed":<10} requests={REQUESTS}  '
+            f'messages={(simulation.messages - sent) / REQUESTS:.3f} each  '
+            f'mean_latency_ms={sum(latencies_ms) / REQUESTS:.2f}  '
+            f'max_latency_ms={max(latencies_ms):.2f}  over_s={idle_s:.0f}'
+        )
+
+
+def measure_processor_time():
+    """Print the processor time of one claim at both ends."""
+    simulation, _ = start_service(HOSTS[:2])
+    agent = simulation.agents[HOSTS[0]]
+    handler = agent.runner.handlers[claim_messages.Claim]
+    keys = [f'cpu-{number}' for number in range(RECORDS)]
+    started = time.perf_counter()
+    for number, key in enumerate(keys):
+        message = claim_messages.Claim(
+            HOSTS[1], 1, 1, key, b'f' * 16, f'a:{number}', 5000
+        )
+        data = message_codec.encode_message(message)
+        reply = handler(message_codec.decode_message(data), HOSTS[1])
+        message_codec.decode_message(message_codec.encode_message(reply))
+    each_us = (time.perf_counter() - started) / RECORDS * 1e6
+    print(
+        f'processor time of claim and grant, codecs included: {each_us:.1f}us'
+    )
+
+
+def measure_memory():
+    """Print the bytes of a kept claim and of a kept result."""
+    clock = clock_module.make_system_clock()
+    keys = [f'0f4c2a9e-6f0b-4d0a-9a1f-{n:012d}' for n in range(RECORDS)]
+    tracemalloc.start()
+    index = claim_index.ClaimIndex(clock)
+    before = tracemalloc.get_traced_memory()[0]
+    for number, key in enumerate(keys):
+        holder = HOSTS[number % len(HOSTS)]
+        index.claim(
+            claim_record.ClaimRecord(
+                # A copy, as the decoder of a message makes one.
+                key=key.encode().decode(),
+                fingerprint=bytes(16),
+                attempt=f'{holder}:{2**62 + number}:{number}',
+                holder=holder,
+                holder_incarnation=2**62 + number,
+                version=0,
+                expires_ms=clock.monotonic_ms() + 900_000,
+            )
+        )
+    claim_bytes = (tracemalloc.get_traced_memory()[0] - before) / RECORDS
+    results = keyed_results.KeyedResults(clock)
+    before = tracemalloc.get_traced_memory()[0]
+    for number, key in enumerate(keys):
+        held = results.begin(key, bytes(16), f'{key}:{number}')
+        results.start(held)
+        body = b'x' * 200
+        headers = ((b'content-type', b'application/json'),)
+        answer = answer_module.Answer(200, headers, body + bytes([65]))
+        results.keep_answer(held, answer, clock.monotonic_ms() + 900_000)
+    result_bytes = (tracemalloc.get_traced_memory()[0] - before) / RECORDS
+    counted = results.used_bytes / RECORDS
+    tracemalloc.stop()
+    print(f'claim: {claim_bytes:.0f} bytes each over {RECORDS} claims')
+    print(
+        f'result with a body of 201 bytes: {result_bytes:.0f} bytes each, '
+        f'counted against the bound as {counted:.0f}'
+    )
+
+
+def main():
+    """Run all measurements."""
+    print(f'retention_s={RETENTION_MS / 1000:.0f}  load=50 requests/s')
+    for lag_ms in (10_000, 30_000):
+        measure_until_listed_as_gone(HOSTS, lag_ms)
+    measure_until_listed_as_gone(HOSTS[:3], 10_000)
+    measure_until_note(HOSTS, 10_000)
+    measure_until_restart(HOSTS, 3000, restarted=1)
+    measure_until_restart(HOSTS, 3000, restarted=2)
+    measure_planned(HOSTS)
+    measure_request()
+    measure_processor_time()
+    measure_memory()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/requests/test_claim_machine.py
+++ b/tests/requests/test_claim_machine.py
@@ -209,6 +209,9 @@
                 agent.wake()
             if agent is None and name in self.simulation.agents:
                 self.restart(name, 0, name, 0)
+        for agent in self.simulation.agents.values():
+            agent.backend.behaviour = []
+            agent.backend.run_ms = 20
         self.accept(ALL_HOSTS, 'a', 0)
         self.simulation.advance(2 * TIMEOUT_MS)
 
@@ -217,10 +220,22 @@
         assert self.simulation.violations == []
 
     def teardown(self):
+        """Check that keys can be claimed again once all faults are over."""
+        self.simulation.advance(2 * TIMEOUT_MS)
+        self.recover()
+        self.simulation.advance(RETENTION_MS)
+        members = self.simulation.fleets[-1].backend_servers
+        tasks = [
+            self.simulation.agents[name].submit(f'{name}-{number}', b'one')
+            for name in members
+            for number in range(4)
+        ]
         self.simulation.advance(2 * TIMEOUT_MS)
         violations = self.simulation.violations
         self.simulation.stop()
         assert violations == []
+        answers = [task.get(block=False) for task in tasks]
+        assert [a.body for a in answers if a.status != 200] == []
 
 
 TestClaimMachine = ClaimMachine.TestCase
