Keep the wait of an only host, and ignore answers from before a pause

Ruled out: a record of which hosts were alone; a deadline that never goes back needs no further state. Change: each of these; incarnations have a module of their own. The new test_notes_after_the_restart_of_an_only_host passes before the change as well. Conclusion: none of these was shown by a failing test.

--- a/packages/requests/src/kingcupport/requests/claim_client.py
+++ b/packages/requests/src/kingcupport/requests/claim_client.py
@@ -114,12 +114,12 @@
             if peer != self._context.name:
                 gevent.spawn(self._send_release, peer, key, attempt)
 
-    def release_at(self, peer, key, attempt):
-        """Tell one peer that its record of an attempt is void."""
-        if peer == self._context.name:
-            self._index.release(key, attempt)
-        else:
-            self._send_release(peer, key, attempt)
+    def release_void(self, key, attempt):
+        """Release an attempt of another agent; waits for the key's agent."""
+        self.release(key, attempt)
+        key_agent = self._rebuild.key_agent(key)
+        if key_agent not in (None, self._context.name):
+            self._send_release(key_agent, key, attempt)
 
     def _send_release(self, peer, key, attempt):
         context = self._context
@@ -204,7 +204,11 @@
             return Granted(record)
         if isinstance(reply, claim_messages.ClaimHeld):
             now_ms = self._context.now_ms()
-            return Held(claim_record.record_from_plain(reply.claim, now_ms))
+            try:
+                other = claim_record.record_from_plain(reply.claim, now_ms)
+            except ValueError:
+                return _Retry('the agent of the key sent a malformed claim')
+            return Held(other)
         if reply.sender != self._context.name:
             self._rebuild.learn_fences(reply.fences)
         if reply.first:
--- a/packages/requests/src/kingcupport/requests/claim_fences.py
+++ b/packages/requests/src/kingcupport/requests/claim_fences.py
@@ -32,7 +32,8 @@
         newer = {
             name: generation
             for name, generation in generations.items()
-            if isinstance(generation, int)
+            if isinstance(name, str)
+            and isinstance(generation, int)
             and generation > self._generations.get(name, 0)
         }
         self._generations.update(newer)
--- a/packages/requests/src/kingcupport/requests/claim_losses.py
+++ b/packages/requests/src/kingcupport/requests/claim_losses.py
@@ -41,14 +41,17 @@
             self._deadlines_ms[host] = now_ms + loss_ms
         self._inherited_ms = max(self._inherited_ms, now_ms + blind_ms)
 
-    def note_others(self, remaining):
+    def note_others(self, remaining, answered):
         """Take over what a peer knows of hosts that have not answered here.
 
         Args:
             remaining: Time in milliseconds by host name.
+            answered: Names of hosts that spoke for themselves.
         """
         now_ms = self._clock.monotonic_ms()
         for host, loss_ms in remaining.items():
+            if host in answered:
+                continue
             known_ms = self._deadlines_ms.get(host, 0)
             self._deadlines_ms[host] = max(known_ms, now_ms + loss_ms)
 
@@ -64,9 +67,15 @@
     def blind_until_ms(self, single_copies):
         """Return when every claim that no process may know has expired.
 
+        The result never goes back.
+
         Args:
             single_copies: Whether claims were known by one process only,
                 because the service had one host.
         """
         losses = sorted([0, self.own_ms, *self._deadlines_ms.values()])
-        return max(losses[-1 if single_copies else -2], self._inherited_ms)
+        # Kept, because the next view no longer shows that a host was alone.
+        self._inherited_ms = max(
+            self._inherited_ms, losses[-1 if single_copies else -2]
+        )
+        return self._inherited_ms
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -7,6 +7,7 @@
 
 from kingcupport.control import peer_caller
 from kingcupport.requests import claim_fences
+from kingcupport.requests import claim_incarnations
 from kingcupport.requests import claim_index
 from kingcupport.requests import claim_instance_list
 from kingcupport.requests import claim_losses
@@ -49,7 +50,7 @@
         self._index = index
         self._started_ms = context.now_ms()
         self._fences = claim_fences.ClaimFences()
-        self._incarnations = {}
+        self._incarnations = claim_incarnations.ClaimIncarnations()
         self._losses = claim_losses.ClaimLosses(context.clock)
         self._previous = set()
         self._required = set()
@@ -61,9 +62,9 @@
         self.participating = False
         self.draining = False
         self.epoch = 0
-        members = claim_placement.members_of(
-            context.keeper.fleet, context.service
-        )
+
+        fleet = context.keeper.fleet
+        members = claim_placement.members_of(fleet, context.service)
         self.view = claim_placement.make_claim_view(members, {})
         self._required = set(self.view.active) - {context.name}
         added_revision = dict(members).get(context.name, math.inf)
@@ -132,19 +133,20 @@
 
     def step(self):
         """Check the instance list and ask those whose answer is missing."""
-        self._fence_gone_hosts()
         if not self.active or self.draining:
             return
+        self._fence_gone_hosts()
+        if self._complete_from_ms is not None and not self.paused:
+            return
         missing = self._required - self._confirmed
         if self.paused:
             missing = set(self.view.active) - {self._context.name}
-        if self._complete_from_ms is None or self.paused:
-            tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
-            try:
-                gevent.joinall(tasks)
-            finally:
-                gevent.killall(tasks, block=False)
-            self._evaluate()
+        tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
+        try:
+            gevent.joinall(tasks)
+        finally:
+            gevent.killall(tasks, block=False)
+        self._evaluate()
 
     def learn_fences(self, generations):
         """Take over higher fence generations from a peer."""
@@ -164,7 +166,7 @@
         self.learn_fences(message.fences)
         self._note_complete()
         self.epoch += 1
-        known = self._note_incarnation(message.sender, message.incarnation)
+        known = self._incarnations.note(message.sender, message.incarnation)
         asked_view = claim_placement.make_claim_view(
             map(tuple, message.members), self.fences()
         )
@@ -181,8 +183,10 @@
             claims=[claim_record.record_to_plain(r, now_ms) for r in records],
             more=more,
             complete=self._complete_from_ms is not None,
-            loss_ms=_remaining_ms(self._own_loss_ms(), now_ms),
-            blind_ms=_remaining_ms(self._complete_from_ms or 0, now_ms),
+            loss_ms=claim_record.remaining_ms(self._own_loss_ms(), now_ms),
+            blind_ms=claim_record.remaining_ms(
+                self._complete_from_ms or 0, now_ms
+            ),
             losses=self._losses.remaining(),
             unconfirmed=sorted(self._unconfirmed()),
             departed=sorted(self._fences.departed),
@@ -214,16 +218,6 @@
         self._fences.note_left(sender, fences, delivered)
         self._evaluate()
 
-    def _note_incarnation(self, peer, incarnation):
-        """Return an earlier incarnation of a peer, or the present one."""
-        earlier, present = self._incarnations.get(
-            peer, (incarnation, incarnation)
-        )
-        if present != incarnation:
-            earlier = present
-        self._incarnations[peer] = (earlier, incarnation)
-        return earlier
-
     def _own_loss_ms(self):
         # A process whose host is not in the fleet cannot tell whether it is
         # the first one there, or was restarted after its withdrawal.
@@ -243,9 +237,8 @@
             self._fences.advance(name)
 
     def _on_accept(self, previous_fleet, fleet):
-        members = claim_placement.members_of(fleet, self._context.service)
-        if set(members) != set(self.view.members):
-            self._change_view(members)
+        service = self._context.service
+        self._change_view(claim_placement.members_of(fleet, service))
 
     def _change_view(self, members):
         view = claim_placement.make_claim_view(members, self.fences())
@@ -275,8 +268,6 @@
         if now_ms < self._next_instance_check_ms:
             return
         self._next_instance_check_ms = now_ms + INSTANCE_CHECK_INTERVAL_MS
-        if not self.active or self.draining:
-            return
         states = self._context.instance_list.states()
         if states.get(self._context.name) == claim_instance_list.GONE:
             return
@@ -288,14 +279,15 @@
 
     def _ask(self, peer):
         context = self._context
-        epoch_view = self.view
+        asked_view = self.view
+        compared = self._compared
         after_key = ''
         while True:
             request = claim_messages.ClaimListRequest(
                 sender=context.name,
                 revision=context.revision,
                 incarnation=context.incarnation,
-                members=[list(member) for member in epoch_view.members],
+                members=[list(member) for member in asked_view.members],
                 fences=self.fences(),
                 after_key=after_key,
             )
@@ -309,10 +301,10 @@
                 LOG.error('claim_rebuild', extra={'reason': str(error)})
                 return
             self.learn_fences(reply.fences)
-            if self.view != epoch_view:
+            if self.view != asked_view:
                 return
             if not reply.more:
-                self._take_answer(peer, reply)
+                self._take_answer(peer, reply, compared)
                 return
             after_key = reply.claims[-1][0]
 
@@ -321,7 +313,7 @@
         for plain in claims:
             self._index.merge(claim_record.record_from_plain(plain, now_ms))
 
-    def _take_answer(self, peer, reply):
+    def _take_answer(self, peer, reply, compared):
         if reply.known_incarnation != self._context.incarnation:
             self._note_restart()
         answered_view = claim_placement.make_claim_view(
@@ -331,17 +323,17 @@
             return
         if self._lacks_copies(peer, reply):
             return
-        self._note_incarnation(peer, reply.incarnation)
+        self._incarnations.note(peer, reply.incarnation)
         self._confirmed.add(peer)
         for name in reply.departed:
             self._fences.note_left(name, reply.fences, True)
         self._losses.note_answer(peer, reply.loss_ms, reply.blind_ms)
         known = self._confirmed | {self._context.name}
-        self._losses.note_others(
-            {n: ms for n, ms in reply.losses.items() if n not in known}
-        )
-        self._required |= set(reply.unconfirmed) - {self._context.name}
-        if self.paused:
+        self._losses.note_others(reply.losses, known)
+        self._required |= set(map(str, reply.unconfirmed))
+        self._required -= {self._context.name}
+        # An answer to a question from before the pause does not count.
+        if self.paused and self._compared is compared:
             self._compared.add(peer)
 
     def _lacks_copies(self, peer, reply):
@@ -380,22 +372,20 @@
 
     def _all_answered(self):
         states = self._context.instance_list.states()
+        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
         absent = set(self.view.names) - set(self.view.active)
+        withdrawn = self._required - set(self.view.names)
         missing = self._required - self._confirmed - self._fences.left
         lost = {
             name
             for name in missing
-            if name in absent or states.get(name) == claim_instance_list.GONE
+            if name in absent or (name in withdrawn and name in gone)
         }
-        open_hosts = missing - lost
-        if open_hosts:
-            may_be_excused = (
-                len(missing) == 1
-                and len(self._previous) > 1
-                and not open_hosts & set(self.view.names)
-            )
-            if not may_be_excused:
-                return False
+        one_withdrawn = len(missing) == 1 and missing <= withdrawn
+        if one_withdrawn and len(self._previous) > 1:
+            lost = missing
+        if missing - lost:
+            return False
         deadline_ms = self._context.now_ms() + self._context.retention_ms
         for name in missing:
             self._losses.note_gone(name, deadline_ms)
@@ -408,7 +398,3 @@
         if len(self._compared) * 2 >= others:
             LOG.info('claim_pause_over', extra={'peers': len(self._compared)})
             self._compared = None
-
-
-def _remaining_ms(deadline_ms, now_ms):
-    return max(0, round(deadline_ms - now_ms))
--- a/packages/requests/src/kingcupport/requests/claim_record.py
+++ b/packages/requests/src/kingcupport/requests/claim_record.py
@@ -30,9 +30,13 @@
     expires_ms: float
 
 
+def remaining_ms(deadline_ms, now_ms):
+    """Return the time to a deadline in whole milliseconds, at least 0."""
+    return max(0, round(deadline_ms - now_ms))
+
+
 def record_to_plain(record, now_ms):
     """Return a ClaimRecord as the array that peer messages carry."""
-    remaining_ms = max(0, round(record.expires_ms - now_ms))
     return [
         record.key,
         record.fingerprint,
@@ -40,7 +44,7 @@
         record.holder,
         record.holder_incarnation,
         record.version,
-        remaining_ms,
+        remaining_ms(record.expires_ms, now_ms),
     ]
 
 
--- a/packages/requests/src/kingcupport/requests/keyed_runner.py
+++ b/packages/requests/src/kingcupport/requests/keyed_runner.py
@@ -291,8 +291,9 @@
             return _unknown('an earlier attempt may have run')
         # The holder of this very incarnation does not know the attempt: it
         # was released, and the message that says so was lost.
-        key_agent = self._rebuild.key_agent(record.key)
-        self._client.release_at(key_agent, record.key, record.attempt)
+        self._client.release_void(record.key, record.attempt)
+        clock = self._context.clock
+        clock.sleep_until(clock.monotonic_ms() + FIRST_POLL_WAIT_MS)
         return None
 
 
--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -247,6 +247,23 @@
     assert ask(simulation, 'a', key) == 504
 
 
+def test_notes_after_the_restart_of_an_only_host(simulation):
+    """A second note hid that the lost claims had no copy."""
+    simulation.publish(withdrawn=['b', 'c', 'd'])
+    accept(simulation, NAMES)
+    simulation.advance(1000)
+    key = key_of('a', names='abc')
+    assert ask(simulation, 'a', key) == 200
+    restart(simulation, 'a')
+    for name in 'bc':
+        simulation.publish(added=[name])
+        accept(simulation, 'abc')
+        simulation.advance(1000)
+    assert ask(simulation, 'a', key) == 504
+    simulation.advance(RETENTION_MS)
+    assert ask(simulation, 'a', key) == 200
+
+
 def test_fenced_key_agent_that_wakes(simulation):
     """It takes itself for the key's agent; others have taken over."""
     key = key_of('b', 'c')
