Bound what released claims leave behind

Cause: each release left its entry in the expiry queue for the retention time, so requests that are shed for long fill the memory although the number of claims is bounded. Ruled out: removing the entry at once, which searches the whole queue. Change: the queue is cleaned up when more than half of it is stale; the default bounds follow from 8 keyed requests a second on each host.

--- a/packages/requests/src/kingcupport/requests/claim_index.py
+++ b/packages/requests/src/kingcupport/requests/claim_index.py
@@ -6,7 +6,11 @@
 from kingcupport.common import errors
 from kingcupport.requests import claim_placement
 
-DEFAULT_MAX_CLAIMS = 100_000
+# At 8 keyed requests a second on each host and a retention of 900 s an agent
+# knows about 14,400 claims: 7,200 as holder and as many as key's agent.
+DEFAULT_MAX_CLAIMS = 32_768
+# Expiry entries of released records that are kept before a clean-up.
+MAX_STALE_ENTRIES = 1024
 # 20,000 claims with keys of 255 bytes stay under 8 MB, half a frame.
 CLAIMS_A_PAGE = 20_000
 
@@ -98,6 +102,8 @@
         self._count += 0 if same else 1
         entry = (record.expires_ms, next(self._sequence), record)
         heapq.heappush(self._expiry, entry)
+        if len(self._expiry) > 2 * self._count + MAX_STALE_ENTRIES:
+            self._drop_stale_entries()
 
     def release(self, key, attempt):
         """Remove an attempt that did not run and never will."""
@@ -143,6 +149,15 @@
         self._expire()
         return [r for records in self._by_key.values() for r in records]
 
+    def _drop_stale_entries(self):
+        """Bound the entries that released records left behind."""
+        self._expiry = [
+            entry
+            for entry in self._expiry
+            if entry[2] in self._by_key.get(entry[2].key, ())
+        ]
+        heapq.heapify(self._expiry)
+
     def _expire(self):
         now_ms = self._clock.monotonic_ms()
         while self._expiry and self._expiry[0][0] <= now_ms:
--- a/packages/requests/src/kingcupport/requests/keyed_results.py
+++ b/packages/requests/src/kingcupport/requests/keyed_results.py
@@ -7,7 +7,8 @@
 import attrs
 from gevent import event
 
-DEFAULT_MAX_RESULT_BYTES = 64 * 1024 * 1024
+# Room for 7,200 answers of 4 KB: 8 a second for a retention of 900 s.
+DEFAULT_MAX_RESULT_BYTES = 32 * 1024 * 1024
 # Set aside for an answer that is still to come. A larger answer for which no
 # room is left is delivered, but its retries get "outcome unknown".
 RESERVED_BYTES = 16 * 1024
--- a/tests/requests/test_claim_index.py
+++ b/tests/requests/test_claim_index.py
@@ -1,5 +1,7 @@
 """Guards the claims that one agent knows."""
 
+import tracemalloc
+
 import attrs
 import pytest
 
@@ -61,6 +63,20 @@
     assert len(index) == 1
 
 
+def test_released_records_leave_nothing_behind():
+    """Requests that are shed for hours must not fill the memory."""
+    tracemalloc.start()
+    index = claim_index.ClaimIndex(_Clock())
+    kept_bytes = []
+    for number in range(20_000):
+        index.claim(make_record(f'a:{number}'))
+        index.release('key', f'a:{number}')
+        if number in (5_000, 19_999):
+            kept_bytes.append(tracemalloc.get_traced_memory()[0])
+    tracemalloc.stop()
+    assert kept_bytes[1] < kept_bytes[0] + 500_000
+
+
 def test_every_page_together_lists_each_key_once(monkeypatch):
     """A rebuild that misses a key would grant it again."""
     monkeypatch.setattr(claim_index, 'CLAIMS_A_PAGE', 7)
