--- /dev/null
+++ b/tests/control/test_platform_readers.py
@@ -0,0 +1,157 @@
+"""Guards against answers of the platform that hang, fill or end a process."""
+
+import collections
+import contextlib
+import random
+
+import control_support as support
+import gevent
+import gevent.server
+import pytest
+
+from kingcupport.common import address as address_module
+from kingcupport.common import clock as clock_module
+from kingcupport.common import errors
+from kingcupport.control import configuration_poller
+from kingcupport.control import configuration_reader
+from kingcupport.control import fleet_keeper
+from kingcupport.control import http_reader
+from kingcupport.control import instance_list
+from kingcupport.observability import audit_trail
+
+State = instance_list.InstanceState
+
+
+@contextlib.contextmanager
+def _serve(answer):
+    """Answer each request with raw bytes, or with a callable on the socket."""
+
+    def serve(sock, remote):
+        sock.recv(4096)
+        answer(sock) if callable(answer) else sock.sendall(answer)
+
+    server = gevent.server.StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    yield address_module.Address('127.0.0.1', server.server_port)
+    server.stop(timeout=0)
+
+
+def _http(body, status='200 OK'):
+    head = f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+def _drip(sock):
+    sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n')
+    with contextlib.suppress(OSError):
+        while True:
+            sock.sendall(b'x')
+            gevent.sleep(0.05)
+
+
+BAD_ANSWERS = [
+    pytest.param(_http(b'', '503 Unavailable'), id='status'),
+    pytest.param(_http(b'{'), id='not JSON'),
+    pytest.param(_http(b'[' * 100_000), id='nested'),
+    pytest.param(_http(b'7'), id='number'),
+    pytest.param(_http(b' ' * 5_000_000), id='oversized'),
+    pytest.param(_http(b'[]')[:-1], id='truncated'),
+    pytest.param(random.Random(2).randbytes(999), id='random bytes'),
+    pytest.param(b'', id='closed'),
+    pytest.param(lambda sock: gevent.sleep(9), id='silent'),
+    pytest.param(_drip, id='a byte at a time'),
+]
+
+
+@pytest.mark.parametrize('answer', BAD_ANSWERS)
+def test_bad_answer_is_an_error_in_bounded_time(answer, monkeypatch):
+    monkeypatch.setattr(http_reader, 'TOTAL_TIMEOUT_MS', 300)
+    with _serve(answer) as address:
+        reader = configuration_reader.make_http_configuration_reader(address)
+        instances = instance_list.make_http_instance_list(address)
+        for read in (lambda: reader.read(0), reader.read_fleet):
+            with pytest.raises(configuration_reader.ConfigurationError):
+                read()
+        with pytest.raises(instance_list.InstanceListError) as caught:
+            instances.states()
+    assert isinstance(caught.value, errors.KingcupportError)
+
+
+def test_service_that_is_down_is_an_error():
+    with _serve(b'') as address:
+        pass
+    reader = configuration_reader.make_http_configuration_reader(address)
+    with pytest.raises(configuration_reader.ConfigurationError):
+        reader.read(0)
+
+
+def test_instance_states():
+    body = b'{"instances": {"a": "live", "b": "leaving", "c": "gone"}}'
+    with _serve(_http(body)) as address:
+        states = instance_list.make_http_instance_list(address).states()
+    assert states == {'a': State.LIVE, 'b': State.LEAVING, 'c': State.GONE}
+    with (
+        _serve(_http(b'{"instances": {"a": "asleep"}}')) as address,
+        pytest.raises(instance_list.InstanceListError),
+    ):
+        instance_list.make_http_instance_list(address).states()
+
+
+@pytest.fixture
+def service():
+    service = support.ConfigurationService().start()
+    yield service
+    service.stop()
+
+
+def _make_poller(service):
+    audit = audit_trail.AuditTrail(clock_module.make_system_clock())
+    keeper = fleet_keeper.FleetKeeper(audit)
+    reader = configuration_reader.make_http_configuration_reader(
+        service.address
+    )
+    poller = configuration_poller.ConfigurationPoller(
+        keeper, reader, random.Random(1), collections.Counter()
+    )
+    return keeper, poller
+
+
+def _publish(service, count):
+    addresses = [address_module.Address('10.0.0.1', 9000)]
+    service.publish(support.make_first_note(addresses))
+    for _ in range(count - 1):
+        service.publish(support.make_note(service.fleet))
+
+
+@pytest.mark.parametrize('first_kept_revision', [0, 100])
+def test_poll_reaches_the_latest_revision(service, first_kept_revision):
+    # More notes than one answer holds; or notes that are gone.
+    service.first_kept_revision = first_kept_revision
+    _publish(service, 150)
+    keeper, poller = _make_poller(service)
+    assert poller.poll()
+    assert keeper.fleet == service.fleet
+
+
+def test_poll_on_another_branch_reads_the_whole_fleet(service):
+    # Guards against a process that stays on the losing side of a conflict.
+    _publish(service, 1)
+    keeper, poller = _make_poller(service)
+    poller.poll()
+    rival = support.make_note(
+        keeper.fleet, added=[support.make_service('audio', 9)]
+    )
+    keeper.offer_note(rival, 'test')
+    service.publish(support.make_note(service.fleet))
+    service.publish(support.make_note(service.fleet))
+    poller.poll()
+    assert keeper.fleet == service.fleet
+
+
+def test_interval_follows_the_rate_budget(service):
+    # Guards the 2,000 calls a second of the service at the design size.
+    keeper, poller = _make_poller(service)
+    assert 750 <= poller.next_delay_ms() <= 1250
+    keeper.offer_fleet(support.make_large_fleet(), 'test')
+    delays_ms = [poller.next_delay_ms() for _ in range(1000)]
+    assert 6240 / (sum(delays_ms) / 1e6) < 1.1 * 1000
