Read useless whole fleets less often and answer unencodable replies

Cause: a stale service, or notes that do not fit, made every poll read the whole fleet: 500 KB each 6 s against a budget of 4 KB/s. A handler that returned something other than a message ended the connection without an answer. Ruled out: a fixed pause after a useless read, which would delay a process on another branch as much at the first read as at the tenth. Change: each useless fleet in a row doubles the poll interval, four times at most; a reply that cannot be encoded becomes an error reply. Tests of pulls and notices against peers that fail, lie or repeat. Conclusion: peers still bring a note within their own time meanwhile.

--- a/packages/control/src/kingcupport/control/configuration_poller.py
+++ b/packages/control/src/kingcupport/control/configuration_poller.py
@@ -14,6 +14,9 @@
 _JITTER = (0.75, 1.25)
 # A process that is 16 x 64 notes behind continues at the next interval.
 MAX_READS_PER_POLL = 16
+# A whole fleet is 500 KB. If one brings nothing, because the service is stale
+# or its notes do not fit, each further one in a row doubles the interval.
+MAX_DOUBLINGS = 4
 ORIGIN = 'configuration service'
 
 
@@ -42,12 +45,15 @@
         self._counts = counts
         self._rate_budget_per_s = rate_budget_per_s
         self._is_up = True
+        self._useless_fleets = 0
 
     def next_delay_ms(self):
         """Return the jittered time until the next poll."""
         processes = len(self._keeper.peer_addresses)
         interval_ms = processes * 1000 / self._rate_budget_per_s
-        return max(MIN_INTERVAL_MS, interval_ms) * self._rng.uniform(*_JITTER)
+        doublings = min(self._useless_fleets, MAX_DOUBLINGS)
+        interval_ms = max(MIN_INTERVAL_MS, interval_ms) * 2**doublings
+        return interval_ms * self._rng.uniform(*_JITTER)
 
     def poll(self):
         """Read the service and offer what is new.
@@ -81,11 +87,20 @@
             # Another branch, or a gap after a refused note.
             self._counts['configuration_reads'] += 1
             reading = self._reader.read_fleet()
-        if reading.fleet is not None:
-            self._keeper.offer_plain_fleet(reading.fleet, ORIGIN)
+        self._offer_fleet(reading.fleet)
         is_full = len(reading.notes) >= configuration_reader.MAX_NOTES
         return is_full and self._keeper.fleet.revision > before
 
+    def _offer_fleet(self, plain):
+        if plain is None:
+            self._useless_fleets = 0
+            return
+        result = self._keeper.offer_plain_fleet(plain, ORIGIN)
+        if result is offer_result.OfferResult.ACCEPTED:
+            self._useless_fleets = 0
+        else:
+            self._useless_fleets += 1
+
     def _log_state(self, is_up, reason):
         # One line a change, not one a poll, while the service is down.
         if is_up == self._is_up:
--- a/packages/control/src/kingcupport/control/peer_server.py
+++ b/packages/control/src/kingcupport/control/peer_server.py
@@ -151,9 +151,16 @@
         with _timeout(SEND_TIMEOUT_MS):
             try:
                 stream.send(reply)
+                return
+            except OSError:
+                raise
             except wire_errors.WireError as error:
-                # Nothing has been sent when a reply is too large.
-                stream.send(self._error_reply(error.code, error.reason))
+                failure = self._error_reply(error.code, error.reason)
+            except Exception:
+                LOG.exception('reply is no peer message')
+                failure = self._error_reply('internal', 'the handler failed')
+            # Nothing has been sent when a reply cannot be encoded.
+            stream.send(failure)
 
     def _error_reply(self, code, reason):
         return control_messages.ErrorReply(
--- a/packages/control/src/kingcupport/control/revision_spreader.py
+++ b/packages/control/src/kingcupport/control/revision_spreader.py
@@ -100,7 +100,7 @@
             gevent.spawn(
                 periodic_task.run_periodically,
                 self._clock,
-                self._next_notice_delay_ms,
+                self.next_notice_delay_ms,
                 self.notify_random_peer,
             ),
         ]
@@ -253,7 +253,8 @@
         self._counts['notices_sent'] += 1
         self._counts['notice_bytes_sent'] += len(data)
 
-    def _next_notice_delay_ms(self):
+    def next_notice_delay_ms(self):
+        """Return the jittered time until the next notice."""
         return NOTICE_INTERVAL_MS * self._rng.uniform(*_NOTICE_JITTER)
 
     def _run_start(self):
--- a/tests/control/test_peers.py
+++ b/tests/control/test_peers.py
@@ -259,10 +259,11 @@
 
 
 def test_faulty_handler_and_unknown_message_are_answered(peers):
-    peers.handle = lambda message: 1 / 0
-    with pytest.raises(peer_caller.PeerAnswerError) as caught:
-        peers.call()
-    assert caught.value.answer_code == 'internal'
+    for fault in (lambda message: 1 / 0, lambda message: None):
+        peers.handle = fault
+        with pytest.raises(peer_caller.PeerAnswerError) as caught:
+            peers.call()
+        assert caught.value.answer_code == 'internal'
     with pytest.raises(peer_caller.PeerAnswerError) as caught:
         peers.call(control_messages.AuditRequest('cli', 0, 0))
     assert caught.value.answer_code == 'unsupported_message'
--- a/tests/control/test_platform_readers.py
+++ b/tests/control/test_platform_readers.py
@@ -155,3 +155,17 @@
     keeper.offer_fleet(support.make_large_fleet(), 'test')
     delays_ms = [poller.next_delay_ms() for _ in range(1000)]
     assert 6240 / (sum(delays_ms) / 1e6) < 1.1 * 1000
+
+
+def test_fleets_that_bring_nothing_are_read_less_often(service):
+    # Guards 4 KB/s a process and the service against 500 KB at every poll.
+    _publish(service, 2)
+    _, poller = _make_poller(service)
+    poller.poll()
+    service.first_kept_revision = 100
+    for _ in range(6):
+        poller.poll()
+    assert poller.next_delay_ms() > 16 * 750
+    service.first_kept_revision = 0
+    poller.poll()
+    assert poller.next_delay_ms() <= 1250
