--- a/packages/control/src/kingcupport/control/control_plane.py
+++ b/packages/control/src/kingcupport/control/control_plane.py
@@ -19,15 +19,17 @@
         keeper: FleetKeeper.
         pool: PeerPool, for calls by name and by address.
         server: PeerServer.
+        poller: ConfigurationPoller.
         spreader: RevisionSpreader; the program passes received
             RevisionNotice datagrams to its ``on_notice``.
         counts: collections.Counter of events by name.
     """
 
-    def __init__(self, keeper, pool, server, spreader, counts):
+    def __init__(self, keeper, pool, server, poller, spreader, counts):
         self.keeper = keeper
         self.pool = pool
         self.server = server
+        self.poller = poller
         self.spreader = spreader
         self.counts = counts
 
@@ -126,7 +128,7 @@
     )
     pool.on_revision(spreader.on_revision_seen)
     server.on_revision(_resolve_senders(keeper, spreader))
-    return ControlPlane(keeper, pool, server, spreader, counts)
+    return ControlPlane(keeper, pool, server, poller, spreader, counts)
 
 
 def _make_reader(reader):
--- a/packages/control/src/kingcupport/control/fleet_keeper.py
+++ b/packages/control/src/kingcupport/control/fleet_keeper.py
@@ -198,6 +198,9 @@
         fleet = self._fleet
         if revision != fleet.revision or digest == fleet.digest:
             return _KNOWN
+        # A command line asks with revision 0 and knows no digest.
+        if revision == 0:
+            return _KNOWN
         if digest not in self._conflicts:
             self._record_conflict(digest, origin)
         return _CONFLICT
--- a/tests/control/test_fleet_keeper.py
+++ b/tests/control/test_fleet_keeper.py
@@ -65,6 +65,12 @@
     assert keeper.conflicts == []
 
 
+def test_asker_without_a_fleet_is_no_conflict():
+    keeper = Keeper()
+    assert keeper.compare_digest(0, '', 'cli') is Result.KNOWN
+    assert keeper.conflicts == []
+
+
 def test_note_on_another_branch_needs_the_whole_fleet():
     keeper = Keeper(FIRST, NOTE_2)
     note = support.make_note(RIVAL_FLEET_2)
--- a/tests/control/test_revision_spreader.py
+++ b/tests/control/test_revision_spreader.py
@@ -7,7 +7,6 @@
 import pytest
 
 from kingcupport.common import address as address_module
-from kingcupport.common import clock as clock_module
 from kingcupport.control import address_caller
 from kingcupport.control import control_handlers
 from kingcupport.control import difference_puller
@@ -21,19 +20,6 @@
 FIRST = support.make_first_note(ADDRESSES)
 
 
-class FakeClock(clock_module.Clock):
-    now_ms = 0.0
-
-    def monotonic_ms(self):
-        return self.now_ms
-
-    def utc_ms(self):
-        return 0
-
-    def sleep_until(self, deadline_ms):
-        self.now_ms = max(self.now_ms, deadline_ms)
-
-
 class FakeCaller(address_caller.AddressCaller):
     """Peers by address; the others cannot be reached."""
 
@@ -55,7 +41,7 @@
     """A spreader of ``ADDRESSES[0]`` at revision 1."""
 
     def __init__(self):
-        self.clock = FakeClock()
+        self.clock = support.FakeClock()
         self.counts = collections.Counter()
         self.caller = FakeCaller()
         self.sent = []
--- a/tests/control/test_spreading_machine.py
+++ b/tests/control/test_spreading_machine.py
@@ -14,7 +14,6 @@
 from hypothesis import strategies
 
 from kingcupport.common import address as address_module
-from kingcupport.common import clock as clock_module
 from kingcupport.control import address_caller
 from kingcupport.control import configuration_poller
 from kingcupport.control import configuration_reader
@@ -42,21 +41,6 @@
 NUMBERS = strategies.integers(0, PROCESSES - 1)
 
 
-class FakeClock(clock_module.Clock):
-    """Time that passes only when somebody waits."""
-
-    now_ms = 0.0
-
-    def monotonic_ms(self):
-        return self.now_ms
-
-    def utc_ms(self):
-        return int(self.now_ms)
-
-    def sleep_until(self, deadline_ms):
-        self.now_ms = max(self.now_ms, deadline_ms)
-
-
 class FakeService(configuration_reader.ConfigurationReader):
     """What one process sees of the service: any earlier state, or nothing."""
 
@@ -153,7 +137,7 @@
 
     def __init__(self):
         super().__init__()
-        self.clock = FakeClock()
+        self.clock = support.FakeClock()
         self.states = [([], fleet_module.Fleet())]
         self.published = {}
         self.services = [FakeService(self.states) for _ in ADDRESSES]
--- a/tests/control_support.py
+++ b/tests/control_support.py
@@ -71,6 +71,21 @@
     )
 
 
+class FakeClock(clock_module.Clock):
+    """Time that passes only when somebody waits."""
+
+    now_ms = 0.0
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+    def utc_ms(self):
+        return int(self.now_ms)
+
+    def sleep_until(self, deadline_ms):
+        self.now_ms = max(self.now_ms, deadline_ms)
+
+
 class ConfigurationService:
     """Serves release notes and the fleet as the published protocol says."""
 
