Take the ports of control plane tests from outside the kernel's range

Cause: a control plane test let the kernel choose a UDP port and then bound TCP to the same number, which any outgoing connection on the machine may hold. Ruled out: a retry after the failure, which would also hide a control plane that leaves its port open. Change: control_support takes addresses from standins.loopback_ports. The test with the running programs does so too, waits until both are ready and reads /readyz and /metrics.

--- a/tests/cli/test_programs.py
+++ b/tests/cli/test_programs.py
@@ -4,14 +4,16 @@
 import json
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
+import urllib.request
 
 import cli_support
 import pytest
 
+from kingcupport.standins import loopback_ports
+
 # Design section 1.3: a release note is in force everywhere within 15 s.
 CONVERGED_WITHIN_S = 15
 STOPPED_WITHIN_S = 15
@@ -26,21 +28,6 @@
 """
 
 
-def _free_ports(count):
-    # Below the range that the kernel hands out, so that no outgoing
-    # connection of another test takes a port before the program binds it.
-    found = []
-    while len(found) < count:
-        port = random.randrange(20_000, 32_000)
-        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                sock.bind(('127.0.0.1', port))
-            if port not in found:
-                found.append(port)
-    return found
-
-
 @contextlib.contextmanager
 def _running(*arguments):
     process = subprocess.Popen(
@@ -67,35 +54,33 @@
 
 @pytest.fixture
 def fleet_of_two(tmp_path):
-    """Run a balancer and an agent; yields their ports and processes."""
-    ports = _free_ports(6)
-    service, balancer, agent, *http, server = ports
-    note = cli_support.NOTE_1.replace(
-        '192.0.2.20:7000', f'127.0.0.1:{balancer}'
-    )
-    note = note.replace('192.0.2.30:7000', f'127.0.0.1:{agent}')
+    """Run a balancer and an agent; yields their addresses and processes."""
+    ports = loopback_ports.LoopbackPorts(random.SystemRandom())
+    service, balancer, agent, server = (ports.take() for _ in range(4))
+    http = ports.take(), ports.take()
+    note = cli_support.NOTE_1.replace('192.0.2.20:7000', str(balancer))
+    note = note.replace('192.0.2.30:7000', str(agent))
     (tmp_path / 'note-1').write_text(note)
     published = tmp_path / 'published'
     cli_support.run(
         *('note', 'compose', tmp_path / 'note-1', '--out-dir', published)
     )
     common = (
-        'data_centre = "dakar-plateau"\n'
-        f'configuration_address = "127.0.0.1:{service}"\n'
+        f'data_centre = "dakar-plateau"\nconfiguration_address = "{service}"\n'
     )
     (tmp_path / 'balancer.toml').write_text(
-        f'name = "balancer-1"\naddress = "127.0.0.1:{balancer}"\n'
-        f'http_address = "127.0.0.1:{http[0]}"\n{common}'
+        f'name = "balancer-1"\naddress = "{balancer}"\n'
+        f'http_address = "{http[0]}"\n{common}'
     )
     (tmp_path / 'agent.toml').write_text(
-        f'name = "gate-1"\nservice = "gate"\naddress = "127.0.0.1:{agent}"\n'
-        f'server_address = "127.0.0.1:{server}"\n'
-        f'http_address = "127.0.0.1:{http[1]}"\n{common}'
+        f'name = "gate-1"\nservice = "gate"\naddress = "{agent}"\n'
+        f'server_address = "{server}"\n'
+        f'http_address = "{http[1]}"\n{common}'
     )
     with (
         _running(
             *('kingcupport.standins', 'configuration-service'),
-            *('--listen', f'127.0.0.1:{service}', '--directory', published),
+            *('--listen', service, '--directory', published),
         ),
         _running(
             *('kingcupport.balancer', '--settings', tmp_path / 'balancer.toml')
@@ -106,16 +91,33 @@
     ):
         yield {
             'published': published,
-            'balancer': f'127.0.0.1:{balancer}',
-            'agent': f'127.0.0.1:{agent}',
+            'balancer': balancer,
+            'agent': agent,
+            'http': http,
             'processes': (balancer_process, agent_process),
         }
 
 
+def _are_ready(result):
+    return all(p['state'] == 'ready' for p in result.document['processes'])
+
+
+def _fetch(address, path):
+    with urllib.request.urlopen(f'http://{address}{path}', timeout=5) as page:
+        return page.read().decode()
+
+
 def test_commands_against_running_programs(fleet_of_two, tmp_path):
     published = fleet_of_two['published']
     status = ('status', '--fleet', published / 'fleet-1.json', '--json')
-    _wait_for(status, lambda r: r.exit_code == 0)
+    # A process has the revision in force shortly before it takes work.
+    _wait_for(status, lambda r: r.exit_code == 0 and _are_ready(r))
+    for program, address in zip(
+        ('balancer', 'agent'), fleet_of_two['http'], strict=True
+    ):
+        assert _fetch(address, '/readyz') == 'ready\n'
+        page = _fetch(address, '/metrics')
+        assert f'kingcupport_{program}_revision 1\n' in page
 
     explained = cli_support.run(
         *('route', 'explain', '192.0.2.10:443', '7', '--json'),
--- a/tests/control_support.py
+++ b/tests/control_support.py
@@ -15,11 +15,14 @@
 from kingcupport.fleet import release_note
 from kingcupport.fleet import service
 from kingcupport.observability import audit_trail
+from kingcupport.standins import loopback_ports
 from kingcupport.wire import datagrams
 
 KINDS = ('services', 'balancers', 'backend_servers')
 MAX_NOTES = 64
 
+_ports = loopback_ports.LoopbackPorts(random.SystemRandom())
+
 
 def make_note(fleet, revision=None, added=(), changed=(), withdrawn=None):
     """Return a ReleaseNote on top of a fleet; entries go by their class."""
@@ -122,8 +125,10 @@
         self._sock = gevent.socket.socket(
             gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM
         )
-        self._sock.bind(('127.0.0.1', 0))
-        self.address = address_module.Address(*self._sock.getsockname())
+        # One port for UDP and TCP; a port from the kernel's range for UDP can
+        # be in use by any outgoing TCP connection.
+        self.address = _ports.take()
+        self._sock.bind(self.address.as_tuple())
         clock = clock_module.make_system_clock()
         self.audit = audit_trail.AuditTrail(clock)
         self.plane = control_plane.make_control_plane(
