--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -1,5 +1,6 @@
 """Guards against tracebacks and undocumented exit codes on bad usage."""
 
+import os
 import subprocess
 import sys
 
@@ -55,3 +56,33 @@
     assert done.returncode == 2
     assert done.stdout == ''
     assert done.stderr == 'kingcupport: absent: No such file or directory\n'
+
+
+@pytest.mark.parametrize(
+    ('output', 'reason'),
+    [('/dev/full', 'No space left on device'), ('&-', 'is closed')],
+)
+def test_output_that_cannot_be_written(output, reason):
+    command = f'exec "$0" -m kingcupport.cli note new >{output}'
+    done = subprocess.run(
+        ['sh', '-c', command, sys.executable],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    assert done.stderr == f'kingcupport: output: {reason}\n'
+
+
+def test_terminal_that_lacks_a_character(tmp_path):
+    path = tmp_path / 'note.toml'
+    path.write_text(cli_support.NOTE_1.replace('dakar', 'thi\u00e8s'))
+    done = subprocess.run(
+        [sys.executable, '-m', 'kingcupport.cli', 'note', 'diff', path],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env={**os.environ, 'PYTHONIOENCODING': 'ascii'},
+    )
+    assert done.returncode == 0
+    assert r'thi\xe8s-plateau' in done.stdout
