Compare the operator's page with the metrics served and the audit kinds

Cause: the agent got two gauges and lost an audit field after the page was written, and no test noticed. Ruled out: a list of gauges in the test, which would be a third copy.

--- a/tests/cli/test_programs.py
+++ b/tests/cli/test_programs.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import json
+import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -18,6 +20,8 @@
 CONVERGED_WITHIN_S = 15
 STOPPED_WITHIN_S = 15
 
+_OPERATIONS = pathlib.Path(__file__).parents[2] / 'docs' / 'operations.md'
+
 _NOTE_2 = """\
 revision = 2
 base = 1
@@ -107,6 +111,15 @@
         return page.read().decode()
 
 
+def _check_documented(program, page):
+    prefix = f'kingcupport_{program}_'
+    served = set(re.findall(rf'^# TYPE {prefix}(\w+)', page, re.MULTILINE))
+    operations = _OPERATIONS.read_text(encoding='utf-8')
+    table = operations.split(f'| {program} | meaning |', 1)[1]
+    listed = set(re.findall(r'`(\w+)`', table.split('\n\n', 1)[0]))
+    assert served == listed
+
+
 def test_commands_against_running_programs(fleet_of_two, tmp_path):
     published = fleet_of_two['published']
     status = ('status', '--fleet', published / 'fleet-1.json', '--json')
@@ -118,6 +131,7 @@
         assert _fetch(address, '/readyz') == 'ready\n'
         page = _fetch(address, '/metrics')
         assert f'kingcupport_{program}_revision 1\n' in page
+        _check_documented(program, page)
 
     explained = cli_support.run(
         *('route', 'explain', '192.0.2.10:443', '7', '--json'),
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -18,9 +18,8 @@
 from kingcupport.fleet import fleet as fleet_module
 from kingcupport.fleet import release_note
 
-_PAGE = (
-    pathlib.Path(__file__).parents[2] / 'docs' / 'operations.md'
-).read_text(encoding='utf-8')
+_ROOT = pathlib.Path(__file__).parents[2]
+_PAGE = (_ROOT / 'docs' / 'operations.md').read_text(encoding='utf-8')
 _SETTINGS = {
     'balancer': balancer_settings.BalancerSettings,
     'agent': agent_settings.AgentSettings,
@@ -91,6 +90,19 @@
         assert f'`{name}`' in table.split('\n\n', 1)[0]
 
 
+def test_audit_kinds_are_listed():
+    sources = (_ROOT / 'packages').glob('*/src/kingcupport/**/*.py')
+    recorded = {
+        kind
+        for path in sources
+        for kind in re.findall(
+            r"audit\.record\(\s*'(\w+)'", path.read_text(encoding='utf-8')
+        )
+    }
+    listed = {kind for kind, _ in _first_cells('## Audit trail')}
+    assert listed == recorded
+
+
 def test_error_codes_are_listed():
     for module in pkgutil.walk_packages(kingcupport.__path__, 'kingcupport.'):
         if not module.name.endswith('__main__'):
