--- a/packages/standins/src/kingcupport/standins/deployment.py
+++ b/packages/standins/src/kingcupport/standins/deployment.py
@@ -169,6 +169,15 @@
         member.write_settings(path, self.configuration_address, **tables)
         self.group.start(member.name, member.module, f'--settings={path}')
 
+    def process_names(self):
+        """Return the names of the deployment's processes in the group."""
+        names = [f'{self.shape.name}-{p}' for p in ('configuration', 'fabric')]
+        for member in self.members.values():
+            names.append(member.name)
+            if member.service:
+                names.append(member.server_process_name)
+        return names
+
     def all_started(self):
         """Return whether all processes have read the fleet."""
         return all(m.started() for m in self.members.values())
--- a/packages/standins/src/kingcupport/standins/fabric.py
+++ b/packages/standins/src/kingcupport/standins/fabric.py
@@ -14,6 +14,7 @@
 from kingcupport.wire import datagram_socket
 from kingcupport.wire import errors as wire_errors
 from kingcupport.wire import packet as packet_module
+from kingcupport.wire import packet_format
 
 BACKLOG = 4096
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
@@ -53,6 +54,7 @@
     def __init__(self, return_address, clock, random, fault_random):
         self._clock = clock
         self._random = random
+        self._format = packet_format.make_packet_format()
         self._balancers = []
         self._listeners = {}
         self._connections = {}
@@ -180,7 +182,7 @@
             self.counts['cut'] += 1
             return
         deliver = functools.partial(self._send_datagram, address)
-        self._injector.pass_on(deliver, packet_module.encode_packet(packet))
+        self._injector.pass_on(deliver, self._format.encode(packet))
 
     def _send_datagram(self, address, data):
         try:
@@ -200,7 +202,7 @@
 
     def _process_datagram(self, data):
         try:
-            packet = packet_module.decode_packet(data)
+            packet = self._format.decode(data)
         except wire_errors.WireError:
             self.counts['malformed'] += 1
             return
--- a/packages/standins/src/kingcupport/standins/load_report.py
+++ b/packages/standins/src/kingcupport/standins/load_report.py
@@ -29,6 +29,8 @@
         self.refusals = collections.Counter()
         self.final_outcomes = collections.Counter()
         self.first_errors = []
+        # Servers that were there for a part of the run only.
+        self.partial_servers = set()
         self.busy_ms_by_server = collections.defaultdict(dict)
         self._answers_by_server = collections.defaultdict(collections.Counter)
         self._latencies = {
@@ -115,15 +117,22 @@
     def _imbalance_to_plain(self):
         return {
             service: {
-                'requests': max_over_mean(counts.values()),
-                'busy_time': max_over_mean(
-                    self.busy_ms_by_server.get(service, {}).values()
+                'requests': self._imbalance(counts),
+                'busy_time': self._imbalance(
+                    self.busy_ms_by_server.get(service, {})
                 ),
                 'servers': dict(counts),
             }
             for service, counts in sorted(self._answers_by_server.items())
         }
 
+    def _imbalance(self, value_by_server):
+        return max_over_mean(
+            value
+            for server, value in value_by_server.items()
+            if server not in self.partial_servers
+        )
+
 
 def max_over_mean(values):
     """Return the greatest value over the mean, 0 for no values."""
--- a/packages/standins/src/kingcupport/standins/report_table.py
+++ b/packages/standins/src/kingcupport/standins/report_table.py
@@ -30,6 +30,10 @@
         f'{"refusals " + outcome:<28}{count:>10}'
         for outcome, count in sorted(plain['refusals'].items())
     ]
+    lines += [
+        f'{"gave up after " + outcome:<28}{count:>10}'
+        for outcome, count in sorted(plain['final_outcomes'].items())
+    ]
     lines += _latency_lines(plain['latency_ms'])
     lines += _imbalance_lines(plain['imbalance'])
     return lines + [f'error: {text}' for text in plain['first_errors']]
