Fix an endless loop of the UDP socket after a peer's port has closed

Ruled out: work sharing with the dead peer; its calls are bounded, and the agents' datagram counters stood still. Change: the socket is non-blocking and the receiving task waits on an io watcher of its own. The new test fails before the change in all three variants.

--- a/packages/wire/src/kingcupport/wire/datagram_socket.py
+++ b/packages/wire/src/kingcupport/wire/datagram_socket.py
@@ -41,6 +41,11 @@
         if family == socket.AF_INET:
             self._sock.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
         self._sock.bind(address.as_tuple())
+        # gevent's methods wait by themselves even with MSG_DONTWAIT. Reading
+        # the error queue that way waits for a datagram instead of an error,
+        # and spins while one is there.
+        self._sock.setblocking(False)
+        self._readable = gevent.get_hub().loop.io(self._sock.fileno(), 1)
         self.dropped_count = 0
 
     def receive_forever(self, on_datagram):
@@ -55,6 +60,9 @@
             for _ in range(BATCH_SIZE):
                 try:
                     data, source = receive(MAX_DATAGRAM_BYTES)
+                except BlockingIOError:
+                    gevent.get_hub().wait(self._readable)
+                    continue
                 except OSError as error:
                     if error.errno not in _ERRORS_OF_A_PEER:
                         raise
@@ -71,7 +79,7 @@
             destination: ``(ip, port)``.
         """
         try:
-            self._sock.sendto(data, socket.MSG_DONTWAIT, destination)
+            self._sock.sendto(data, destination)
         except BlockingIOError:
             self.dropped_count += 1
         except OSError as error:
@@ -82,19 +90,21 @@
                 self.dropped_count += 1
                 return
             with contextlib.suppress(OSError):
-                self._sock.sendto(data, socket.MSG_DONTWAIT, destination)
+                self._sock.sendto(data, destination)
 
     def _read_error_queue(self):
-        flags = socket.MSG_ERRQUEUE | socket.MSG_DONTWAIT
         with contextlib.suppress(OSError):
             while True:
                 # The address is the destination of the failed datagram.
-                _, _, _, destination = self._sock.recvmsg(0, 512, flags)
+                _, _, _, destination = self._sock.recvmsg(
+                    0, 512, socket.MSG_ERRQUEUE
+                )
                 if destination:
                     self._on_unreachable(destination[:2])
 
     def close(self):
         """Close the socket."""
+        self._readable.close()
         self._sock.close()
 
 
--- /dev/null
+++ b/tests/wire/test_datagram_socket.py
@@ -0,0 +1,69 @@
+"""Guards against a socket that a dead peer stops or keeps busy."""
+
+import socket
+import time
+
+import gevent
+import pytest
+
+from kingcupport.common import address
+from kingcupport.wire import datagram_socket
+
+
+def _closed_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()
+
+
+@pytest.fixture
+def unreachable():
+    return []
+
+
+@pytest.fixture
+def sockets(unreachable):
+    sockets = [
+        datagram_socket.DatagramSocket(
+            address.Address('127.0.0.1', 0), unreachable.append
+        )
+        for _ in range(2)
+    ]
+    yield sockets
+    for sock in sockets:
+        sock.close()
+
+
+def _eventually(condition):
+    deadline = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < deadline
+        gevent.sleep(0.01)
+
+
+@pytest.mark.parametrize('datagrams_at_once', [1, 2, 3])
+def test_dead_peer_is_reported_and_others_are_served(
+    sockets, unreachable, datagrams_at_once
+):
+    # Reading the error queue used to wait for the next datagram, either with
+    # an error of gevent or in a loop that took the whole core.
+    sender, receiver = sockets
+    received = []
+    task = gevent.spawn(
+        receiver.receive_forever, lambda data, _: received.append(data)
+    )
+    dead = _closed_port()
+    own = receiver._sock.getsockname()
+    for number in range(50):
+        for _ in range(datagrams_at_once):
+            receiver.send(b'to a dead port', dead)
+        sender.send(b'%d' % number, own)
+        gevent.sleep(0.002)
+    _eventually(lambda: len(received) == 50)
+    assert received == [b'%d' % number for number in range(50)]
+    assert set(unreachable) == {dead}
+    started = time.process_time()
+    gevent.sleep(0.3)
+    assert time.process_time() - started < 0.1
+    assert not task.ready()
+    task.kill()
