Let a balancer that lags drop packets instead of resetting connections

Cause: a balancer that had just joined knew no service yet and answered packets of established connections with RESET; the fabric learns of a new balancer before that has read its first fleet. Change: only an OPEN is refused, and only once a fleet is known; other packets are dropped and counted, and the caller's side sends them again.

--- a/packages/balancer/src/kingcupport/balancer/data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/data_path.py
@@ -155,10 +155,18 @@
             self._on_datagram(datagram, source)
 
     def _refuse(self, fields, data):
-        """Tell the caller that no host serves the address."""
-        self.counters.refused += 1
-        if fields.kind == packet_module.PacketKind.RESET:
+        """Refuse an OPEN for an address that no host serves.
+
+        Other packets are dropped: a balancer that lags behind may not know
+        the service of an established connection yet, and the caller's side
+        sends them again through another balancer. So does everything before
+        the first fleet is known.
+        """
+        is_open = fields.kind == packet_module.PacketKind.OPEN
+        if not is_open or self.fleet.revision == 0:
+            self.counters.dropped += 1
             return
+        self.counters.refused += 1
         packet = self._format.decode(data)
         packet.kind = int(packet_module.PacketKind.RESET)
         packet.payload = b''
--- a/packages/balancer/src/kingcupport/balancer/data_path_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/data_path_counters.py
@@ -14,7 +14,8 @@
     Args:
         datagrams: Received.
         forwarded: Packets sent on to an agent.
-        refused: Packets for an address that no host serves.
+        refused: OPEN packets for an address that no host serves.
+        dropped: Other packets for an address that no host serves.
         malformed: Datagrams that could not be decoded.
         hints: Location hints received.
         unreachable: Errors reported for an agent's address.
@@ -23,6 +24,7 @@
     datagrams: int = 0
     forwarded: int = 0
     refused: int = 0
+    dropped: int = 0
     malformed: int = 0
     hints: int = 0
     unreachable: int = 0
