Name the stale revision as the stand-in does

Cause: the test set a field that the configuration stand-in does not have; it answered 400. Change: the field's name.

--- a/tests/faults/test_platform_faults.py
+++ b/tests/faults/test_platform_faults.py
@@ -49,7 +49,7 @@
 def test_stale_service_does_not_revert_a_fleet(bed):
     bed.deployment.publish(_withdraw_nothing_note(bed))
     bed.deployment.wait_in_force(fault_bed.IN_FORCE_LIMIT_MS)
-    _set_configuration_fault(bed, stale_at_revision=1)
+    _set_configuration_fault(bed, stale_revision=1)
     victim = bed.members('audio')[1]
     bed.group.kill(victim.name)
     bed.deployment.start_member_process(victim)
