--- a/packages/requests/src/kingcupport/requests/job.py
+++ b/packages/requests/src/kingcupport/requests/job.py
@@ -3,6 +3,7 @@
 import attrs
 from gevent import event
 
+from kingcupport.requests import answer
 from kingcupport.requests import request as request_module
 
 
@@ -20,6 +21,9 @@
         permit: Permit that it holds, or None.
         turn: Event that starts a request taken ahead of its slot, or None.
         started: Whether a run on this agent's server was begun.
+        uncertain: Whether an earlier attempt may have run.
+        queue_number: Place among jobs with the same key, 0 before the first
+            push; a job that comes back keeps its place.
         attempts: Number of runs that were begun.
     """
 
@@ -32,4 +36,21 @@
     permit: object = None
     turn: event.Event | None = None
     started: bool = False
+    uncertain: bool = False
+    queue_number: int = 0
     attempts: int = 0
+
+    def finish(self, result):
+        """Set the answer unless there is one.
+
+        Args:
+            result: The Answer. After an attempt that may have run, ``not-run``
+                becomes ``unknown``.
+        """
+        if self.result.ready():
+            return
+        if self.uncertain and result.outcome == answer.Outcome.NOT_RUN:
+            result = answer.make_refusal(
+                answer.Outcome.UNKNOWN, 'an earlier attempt may have run'
+            )
+        self.result.set(result)
--- a/packages/requests/src/kingcupport/requests/peer_loads.py
+++ b/packages/requests/src/kingcupport/requests/peer_loads.py
@@ -66,10 +66,6 @@
             if record.stale_at_ms > now_ms
         }
 
-    def fresh_count(self):
-        """Return the number of peers whose report is not stale."""
-        return len(list(self._fresh()))
-
     def _fresh(self):
         now_ms = self._clock.monotonic_ms()
         return (
