Go on asking peers after a failed step

Cause: an error of the instance list would have ended the task that asks peers, and with it every takeover of keys. Ruled out: catching every exception; only KingcupportError is expected there. Change: the task logs the error and goes on; a malformed claim in a list counts as no answer; what the program calls, in which order, is documented.

--- a/packages/requests/src/kingcupport/requests/claim_fences.py
+++ b/packages/requests/src/kingcupport/requests/claim_fences.py
@@ -66,15 +66,18 @@
             self.departed.add(name)
 
     def newly_gone(self, states, active):
-        """Return active hosts that the instance list newly calls gone.
+        """Return the next generation of hosts that are newly called gone.
 
         A host that rejoined while the list still calls it gone is alive.
 
         Args:
             states: State by name, from the instance list.
             active: Names of hosts that are not fenced.
+
+        Returns:
+            Generation by name, for ``learn``.
         """
         gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
         newly = (gone - self._known_gone) & set(active)
         self._known_gone = gone
-        return newly
+        return {name: self._generations.get(name, 0) + 1 for name in newly}
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from kingcupport.common import errors
 from kingcupport.control import peer_caller
 from kingcupport.requests import claim_fences
 from kingcupport.requests import claim_incarnations
@@ -53,7 +54,6 @@
         self._incarnations = claim_incarnations.ClaimIncarnations()
         self._losses = claim_losses.ClaimLosses(context.clock)
         self._previous = set()
-        self._required = set()
         self._confirmed = set()
         self._owned_views = None
         self._complete_from_ms = None
@@ -128,7 +128,10 @@
         """Ask peers whenever something is missing; to be spawned."""
         clock = self._context.clock
         while True:
-            self.step()
+            try:
+                self.step()
+            except errors.KingcupportError as error:
+                LOG.error('claim_rebuild', extra={'reason': str(error)})
             clock.sleep_until(clock.monotonic_ms() + STEP_INTERVAL_MS)
 
     def step(self):
@@ -136,11 +139,12 @@
         if not self.active or self.draining:
             return
         self._fence_gone_hosts()
-        if self._complete_from_ms is not None and not self.paused:
-            return
-        missing = self._required - self._confirmed
         if self.paused:
             missing = set(self.view.active) - {self._context.name}
+        elif self._complete_from_ms is None:
+            missing = self._required - self._confirmed
+        else:
+            return
         tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
         try:
             gevent.joinall(tasks)
@@ -211,8 +215,8 @@
         Args:
             sender: Name of the agent.
             fences: Fence generations there.
-            delivered: Whether it reached every peer, so that a peer that
-                restarts later need not take its records for lost.
+            delivered: Whether it reached every peer, so that none of its
+                records can be lost with one restart.
         """
         self.learn_fences(fences)
         self._fences.note_left(sender, fences, delivered)
@@ -231,14 +235,13 @@
         return self._required - self._confirmed - self._fences.left
 
     def _rejoin_when_fenced(self):
-        name = self._context.name
-        if self._fences.absent(name) and not self.draining:
+        if self._fences.absent(self._context.name) and not self.draining:
             self._owned_views = None
-            self._fences.advance(name)
+            self._fences.advance(self._context.name)
 
     def _on_accept(self, previous_fleet, fleet):
-        service = self._context.service
-        self._change_view(claim_placement.members_of(fleet, service))
+        members = claim_placement.members_of(fleet, self._context.service)
+        self._change_view(members)
 
     def _change_view(self, members):
         view = claim_placement.make_claim_view(members, self.fences())
@@ -251,16 +254,13 @@
         self.view = view
         self.epoch += 1
         self._previous = earlier
-        self._required = (earlier | set(self.view.active)) - {
-            self._context.name
-        }
+        self._required = earlier | set(self.view.active)
+        self._required -= {self._context.name}
         self._confirmed = set()
         self._complete_from_ms = None
-        if not self.active:
-            self._owned_views = None
-        elif self._owned_views is not None:
+        if self._owned_views is not None:
             self._owned_views.append(self.view.active)
-            if len(self._owned_views) > MAX_OWNED_VIEWS:
+            if not self.active or len(self._owned_views) > MAX_OWNED_VIEWS:
                 self._owned_views = None
 
     def _fence_gone_hosts(self):
@@ -274,8 +274,7 @@
         gone = self._fences.newly_gone(states, self.view.active)
         if gone:
             LOG.warning('claim_fence', extra={'hosts': ','.join(sorted(gone))})
-            known = self.fences()
-            self.learn_fences({name: known.get(name, 0) + 1 for name in gone})
+            self.learn_fences(gone)
 
     def _ask(self, peer):
         context = self._context
@@ -294,10 +293,11 @@
             deadline_ms = context.now_ms() + ASK_TIMEOUT_MS
             try:
                 reply = context.caller.call(peer, request, deadline_ms)
-                self._merge_claims(reply.claims)
+                for plain in reply.claims:
+                    self._merge(plain)
             except peer_caller.PeerError:
                 return
-            except claim_index.ClaimIndexFullError as error:
+            except (claim_index.ClaimIndexFullError, ValueError) as error:
                 LOG.error('claim_rebuild', extra={'reason': str(error)})
                 return
             self.learn_fences(reply.fences)
@@ -308,10 +308,9 @@
                 return
             after_key = reply.claims[-1][0]
 
-    def _merge_claims(self, claims):
+    def _merge(self, plain):
         now_ms = self._context.now_ms()
-        for plain in claims:
-            self._index.merge(claim_record.record_from_plain(plain, now_ms))
+        self._index.merge(claim_record.record_from_plain(plain, now_ms))
 
     def _take_answer(self, peer, reply, compared):
         if reply.known_incarnation != self._context.incarnation:
@@ -361,9 +360,8 @@
         self._end_pause()
         if self._complete_from_ms is not None or not self.active:
             return
-        if not self._all_answered():
-            return
-        if len(self.view.names) > 1 and len(self.view.active) < 2:
+        no_second = len(self.view.names) > 1 and len(self.view.active) < 2
+        if no_second or not self._all_answered():
             return
         self.participating = True
         # Claims of a host that was alone had no second copy.
--- a/packages/requests/src/kingcupport/requests/keyed_runner.py
+++ b/packages/requests/src/kingcupport/requests/keyed_runner.py
@@ -33,8 +33,14 @@
 class KeyedRequestRunner(request_runner.RequestRunner):
     """Claims each keyed request before the next runner runs it.
 
-    The program registers ``handlers`` with its peer server, calls ``start``
-    once peers can be reached, and ``drain`` before it exits.
+    What the program does, in this order: build it with
+    ``make_keyed_request_runner`` once the first fleet was read and compared
+    with peers; register ``handlers`` with its peer server; call ``start``;
+    on a withdrawal of its host or SIGTERM hand its connections off, then call
+    ``drain`` and exit when that returns; call ``stop`` last. The next runner
+    calls ``may_run`` before it starts claimed work that it had queued.
+    ``ready`` is a figure, not a condition of readiness: after a second
+    restart it stays false for the retention time while other work goes on.
 
     Args:
         next_runner: RequestRunner that runs claimed and unclaimed requests.
