Count the drain of a restarted agent as lost memory, and end mutual waits

Ruled out: no farewell from such an agent; its fence still shortens the time in which its keys are refused. Change: a farewell says whether its sender lost no claims and among which hosts it placed its records; only then it counts as no loss. An expired loss asks for no completeness of peers. The comparison after a pause is a module of its own.

--- a/packages/requests/src/kingcupport/requests/claim_handlers.py
+++ b/packages/requests/src/kingcupport/requests/claim_handlers.py
@@ -152,6 +152,7 @@
         )
 
     def _on_handover(self, message, peer):
+        _check_members(message.members, peer)
         try:
             accepted = self._handover.receive(message)
         except (ValueError, TypeError) as error:
--- a/packages/requests/src/kingcupport/requests/claim_handover.py
+++ b/packages/requests/src/kingcupport/requests/claim_handover.py
@@ -35,6 +35,7 @@
         self._index = index
         self._results = results
         self._rebuild = rebuild
+        self._in_order = False
 
     def send_all(self, deadline_ms):
         """Hand every record over and say farewell.
@@ -51,17 +52,15 @@
         name = self._context.name
         peers = [p for p in self._rebuild.view.names if p != name]
         active = [p for p in self._rebuild.view.active if p != name]
-        fences = self._rebuild.begin_farewell()
-        self._send_results(active, fences, deadline_ms)
+        self._in_order = self._rebuild.begin_farewell()
+        self._send_results(active, deadline_ms)
         failed = [
             peer
             for peer in peers
-            if not self._send_claims(peer, active, fences, deadline_ms)
+            if not self._send_claims(peer, active, deadline_ms)
         ]
         if not failed:
-            message = self._message(
-                farewell=True, delivered=True, fences=fences
-            )
+            message = self._message(farewell=True, delivered=True)
             for peer in peers:
                 self._call(peer, message, deadline_ms)
         LOG.info('claim_farewell', extra={'failed': ','.join(failed)})
@@ -87,9 +86,7 @@
             if self._adopt(record, status, headers, body):
                 accepted.append(record.attempt)
         if message.farewell:
-            self._rebuild.on_farewell(
-                message.sender, message.fences, message.delivered
-            )
+            self._rebuild.on_farewell(message)
         return accepted
 
     def _merge(self, record):
@@ -124,7 +121,7 @@
             return True
         return self._results.adopt(held) and self._merge(taken)
 
-    def _send_results(self, active, fences, deadline_ms):
+    def _send_results(self, active, deadline_ms):
         by_peer = collections.defaultdict(list)
         for held in self._results.held():
             key_agent = claim_placement.find_key_agent(held.key, active)
@@ -133,9 +130,9 @@
         for first, batch in by_peer.items():
             others = [p for p in active if p != first]
             for part in _batches(batch):
-                self._send_part(part, [first, *others], fences, deadline_ms)
+                self._send_part(part, [first, *others], deadline_ms)
 
-    def _send_part(self, part, peers, fences, deadline_ms):
+    def _send_part(self, part, peers, deadline_ms):
         """Give one batch of results to the first peers that take them.
 
         The key's next agent learns from its peers when another one became
@@ -144,8 +141,7 @@
         left = list(part)
         for peer in peers:
             message = self._message(
-                results=[self._result_to_plain(held) for held in left],
-                fences=fences,
+                results=[self._result_to_plain(held) for held in left]
             )
             accepted = self._call(peer, message, deadline_ms) or ()
             left = [held for held in left if held.attempt not in accepted]
@@ -153,7 +149,7 @@
                 return
         LOG.warning('claim_handover', extra={'lost_results': len(left)})
 
-    def _send_claims(self, peer, active, fences, deadline_ms):
+    def _send_claims(self, peer, active, deadline_ms):
         after_key = ''
         while True:
             records, more = self._index.concerning(peer, active, after_key)
@@ -163,7 +159,6 @@
                     claim_record.record_to_plain(r, now_ms) for r in records
                 ],
                 farewell=not more,
-                fences=fences,
             )
             accepted = self._call(peer, message, deadline_ms)
             if accepted is None or len(accepted) < len(records):
@@ -175,7 +170,6 @@
     def _message(
         self,
         *,
-        fences,
         claims=(),
         results=(),
         farewell=False,
@@ -190,7 +184,9 @@
             results=list(results),
             farewell=farewell,
             delivered=delivered,
-            fences=fences,
+            in_order=self._in_order,
+            members=[list(m) for m in self._rebuild.view.members],
+            fences=self._rebuild.fences(),
         )
 
     def _call(self, peer, message, deadline_ms):
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -7,6 +7,7 @@
 
 from kingcupport.common import errors
 from kingcupport.control import peer_caller
+from kingcupport.requests import claim_comparison
 from kingcupport.requests import claim_fences
 from kingcupport.requests import claim_incarnations
 from kingcupport.requests import claim_index
@@ -58,7 +59,7 @@
         self._owned_views = None
         self._complete_from_ms = None
         self._next_instance_check_ms = 0
-        self._compared = None
+        self._comparison = claim_comparison.ClaimComparison()
         self.participating = False
         self.draining = False
         self.epoch = 0
@@ -75,7 +76,7 @@
     @property
     def paused(self):
         """Whether a pause was noticed and no peers were compared since."""
-        return self._compared is not None
+        return self._comparison.open
 
     @property
     def active(self):
@@ -121,7 +122,7 @@
     def on_pause(self, late_ms):
         """Block claims until the view was compared with the peers."""
         LOG.warning('claim_pause', extra={'late_ms': round(late_ms)})
-        self._compared = set()
+        self._comparison.begin()
         self.epoch += 1
 
     def run(self):
@@ -202,24 +203,33 @@
         return self._fences.generations()
 
     def begin_farewell(self):
-        """Fence this agent itself; it grants and claims nothing from now."""
+        """Fence this agent itself; it grants and claims nothing from now.
+
+        Returns:
+            Whether this process lost no claims, so that its records make up
+            for it.
+        """
+        in_order = self.participating and not self._losses.own_ms
         self.draining = True
         if not self._fences.absent(self._context.name):
             self._fences.advance(self._context.name)
         self._change_view(self.view.members)
-        return self.fences()
+        return in_order
+
+    def on_farewell(self, message):
+        """Take over a draining agent's fence.
 
-    def on_farewell(self, sender, fences, delivered):
-        """Note that an agent left after it handed over its records.
+        Only the records of an agent that lost none itself and that placed
+        them among the same hosts make up for its absence.
 
         Args:
-            sender: Name of the agent.
-            fences: Fence generations there.
-            delivered: Whether it reached every peer, so that none of its
-                records can be lost with one restart.
+            message: ClaimHandover that is a farewell.
         """
+        fences = message.fences
         self.learn_fences(fences)
-        self._fences.note_left(sender, fences, delivered)
+        same = set(map(tuple, message.members)) == set(self.view.members)
+        if message.in_order and same:
+            self._fences.note_left(message.sender, fences, message.delivered)
         self._evaluate()
 
     def _own_loss_ms(self):
@@ -279,7 +289,7 @@
     def _ask(self, peer):
         context = self._context
         asked_view = self.view
-        compared = self._compared
+        token = self._comparison.token
         after_key = ''
         while True:
             request = claim_messages.ClaimListRequest(
@@ -304,7 +314,7 @@
             if self.view != asked_view:
                 return
             if not reply.more:
-                self._take_answer(peer, reply, compared)
+                self._take_answer(peer, reply, token)
                 return
             after_key = reply.claims[-1][0]
 
@@ -312,7 +322,7 @@
         now_ms = self._context.now_ms()
         self._index.merge(claim_record.record_from_plain(plain, now_ms))
 
-    def _take_answer(self, peer, reply, compared):
+    def _take_answer(self, peer, reply, token):
         if reply.known_incarnation != self._context.incarnation:
             self._note_restart()
         answered_view = claim_placement.make_claim_view(
@@ -331,14 +341,12 @@
         self._losses.note_others(reply.losses, known)
         self._required |= set(map(str, reply.unconfirmed))
         self._required -= {self._context.name}
-        # An answer to a question from before the pause does not count.
-        if self.paused and self._compared is compared:
-            self._compared.add(peer)
+        self._comparison.note(peer, token)
 
     def _lacks_copies(self, peer, reply):
         """Whether a new host may not yet know claims that were lost here."""
         return (
-            self._losses.own_ms > 0
+            self._losses.own_ms > self._context.now_ms()
             and peer in self.view.names
             and not reply.complete
             and not reply.loss_ms
@@ -357,7 +365,7 @@
             self._confirmed = set()
 
     def _evaluate(self):
-        self._end_pause()
+        self._comparison.end(len(self.view.active) - 1)
         if self._complete_from_ms is not None or not self.active:
             return
         no_second = len(self.view.names) > 1 and len(self.view.active) < 2
@@ -388,11 +396,3 @@
         for name in missing:
             self._losses.note_gone(name, deadline_ms)
         return True
-
-    def _end_pause(self):
-        if not self.paused:
-            return
-        others = len(self.view.active) - 1
-        if len(self._compared) * 2 >= others:
-            LOG.info('claim_pause_over', extra={'peers': len(self._compared)})
-            self._compared = None
--- a/packages/wire/src/kingcupport/wire/claim_messages.py
+++ b/packages/wire/src/kingcupport/wire/claim_messages.py
@@ -257,6 +257,8 @@
         farewell: Whether these are the last records; the receiver then
             fences the sender without having to ask it.
         delivered: Whether every peer has taken the farewell.
+        in_order: Whether the sender lost no claims itself.
+        members: ``[name, added_revision]`` of the hosts at the sender.
         fences: Fence generations at the sender, including its own.
     """
 
@@ -267,6 +269,8 @@
     results: list
     farewell: bool
     delivered: bool
+    in_order: bool
+    members: list
     fences: dict
 
 
--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -396,6 +396,39 @@
     assert ask(simulation, 'c', key) == 504
 
 
+@pytest.mark.parametrize('wait_ms', [0, 1.2, 10])
+def test_drain_of_a_restarted_holder_counts_as_lost_memory(
+    simulation, wait_ms
+):
+    """The state machine found that such a farewell hid a loss."""
+    simulation.start('e')
+    simulation.publish(added=['e'])
+    accept(simulation, 'abcde')
+    simulation.advance(1000)
+    key = key_of('e', names='abcde')
+    assert ask(simulation, 'a', key) == 200
+    restart(simulation, 'a', simulation.fleets[1])
+    simulation.agents['a'].drain(5000)
+    # The key agent dies before the farewell makes anyone ask it.
+    simulation.advance(wait_ms)
+    simulation.kill('e')
+    simulation.platform_says('e', 'gone')
+    simulation.advance(3000)
+    assert ask(simulation, 'c', key) == 504
+
+
+def test_two_restarts_are_over_after_the_retention_time(simulation):
+    """The state machine found two agents that waited for each other."""
+    cut_off(simulation, 'a', 'bcd')
+    restart(simulation, 'a')
+    restart(simulation, 'b')
+    simulation.advance(RETENTION_MS)
+    simulation.heal()
+    simulation.advance(1000)
+    assert simulation.agents['a'].runner.ready
+    assert simulation.agents['b'].runner.ready
+
+
 def test_drained_host_does_not_count_as_lost_memory(simulation):
     """A planned restart of one host after another must refuse nothing."""
     simulation.agents['b'].drain(5000)
