--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -396,9 +396,10 @@
     assert ask(simulation, 'c', key) == 504
 
 
+@pytest.mark.parametrize('revision', [1, 2])
 @pytest.mark.parametrize('wait_ms', [0, 1.2, 10])
 def test_drain_of_a_restarted_holder_counts_as_lost_memory(
-    simulation, wait_ms
+    simulation, wait_ms, revision
 ):
     """The state machine found that such a farewell hid a loss."""
     simulation.start('e')
@@ -407,7 +408,9 @@
     simulation.advance(1000)
     key = key_of('e', names='abcde')
     assert ask(simulation, 'a', key) == 200
-    restart(simulation, 'a', simulation.fleets[1])
+    # Between two steps of the tasks that ask peers.
+    simulation.advance(50)
+    restart(simulation, 'a', simulation.fleets[revision])
     simulation.agents['a'].drain(5000)
     # The key agent dies before the farewell makes anyone ask it.
     simulation.advance(wait_ms)
--- a/tests/requests/test_claim_machine.py
+++ b/tests/requests/test_claim_machine.py
@@ -247,7 +247,7 @@
     deadline=None,
     # Shrinking a failure takes minutes; a failing run prints its steps.
     phases=[hypothesis.Phase.generate],
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=50,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
