--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -441,6 +441,26 @@
     assert simulation.agents['a'].runner.ready
 
 
+def test_rolling_restart_loses_nothing(simulation):
+    """Operators replace every instance of a service one after another."""
+    keys = [key_of(name) for name in NAMES]
+    for key in keys:
+        assert ask(simulation, 'a', key) == 200
+    for name in NAMES:
+        simulation.agents[name].drain(5000)
+        simulation.advance(1000)
+        assert not simulation.agents[name].alive
+        simulation.start(name)
+        simulation.advance(1000)
+        assert simulation.agents[name].runner.ready
+    for key in keys:
+        for name in NAMES:
+            task = simulation.agents[name].submit(key)
+            simulation.advance(100)
+            assert task.get(block=False).status == 200
+        assert len(simulation.runs[key]) == 1
+
+
 def test_note_that_adds_an_unreachable_host_during_claims(simulation):
     """Keys that stay with their agent need no answer of the new host."""
     simulation.start('e')
