Measure the list of claims that a peer is sent

Cause: a change of a service's hosts makes every agent ask every other one; the size and the time of that were not known.

--- a/bench/claim_cost.py
+++ b/bench/claim_cost.py
@@ -12,6 +12,7 @@
 import tracemalloc
 
 import claim_simulation
+import msgpack
 
 from kingcupport.common import clock as clock_module
 from kingcupport.requests import answer as answer_module
@@ -27,6 +28,8 @@
 WARM_UP_MS = 2000
 RECORDS = 20_000
 REQUESTS = 500
+# Claims that an agent knows at 8 keyed requests a second on each host.
+LISTED_CLAIMS = 14_400
 
 
 class Load:
@@ -189,13 +192,30 @@
     )
 
 
-def measure_memory():
-    """Print the bytes of a kept claim and of a kept result."""
+def measure_list():
+    """Print what one peer's list costs after a change of the hosts."""
     clock = clock_module.make_system_clock()
-    keys = [f'0f4c2a9e-6f0b-4d0a-9a1f-{n:012d}' for n in range(RECORDS)]
-    tracemalloc.start()
     index = claim_index.ClaimIndex(clock)
-    before = tracemalloc.get_traced_memory()[0]
+    fill_index(index, make_keys(LISTED_CLAIMS), clock)
+    started = time.perf_counter()
+    records, _ = index.concerning(HOSTS[0], HOSTS)
+    now_ms = clock.monotonic_ms()
+    plain = [claim_record.record_to_plain(r, now_ms) for r in records]
+    size_bytes = len(msgpack.packb(plain))
+    took_ms = (time.perf_counter() - started) * 1000
+    print(
+        f'list for one peer of {LISTED_CLAIMS} known claims: '
+        f'{len(records)} claims, {size_bytes} bytes, {took_ms:.0f} ms'
+    )
+
+
+def make_keys(count):
+    """Return keys in the shape of UUIDs."""
+    return [f'0f4c2a9e-6f0b-4d0a-9a1f-{n:012d}' for n in range(count)]
+
+
+def fill_index(index, keys, clock):
+    """Add a claim for each key."""
     for number, key in enumerate(keys):
         holder = HOSTS[number % len(HOSTS)]
         index.claim(
@@ -210,6 +230,16 @@
                 expires_ms=clock.monotonic_ms() + 900_000,
             )
         )
+
+
+def measure_memory():
+    """Print the bytes of a kept claim and of a kept result."""
+    clock = clock_module.make_system_clock()
+    keys = make_keys(RECORDS)
+    tracemalloc.start()
+    index = claim_index.ClaimIndex(clock)
+    before = tracemalloc.get_traced_memory()[0]
+    fill_index(index, keys, clock)
     claim_bytes = (tracemalloc.get_traced_memory()[0] - before) / RECORDS
     results = keyed_results.KeyedResults(clock)
     before = tracemalloc.get_traced_memory()[0]
@@ -242,6 +272,7 @@
     measure_planned(HOSTS)
     measure_request()
     measure_processor_time()
+    measure_list()
     measure_memory()
 
 
