Name request, time and port in the load tool's errors

Cause: an answer that does not come has to be found in the logs and counters of the agents. Change: errors give the time since the start, method, target and the caller's port, by which packets name the connection.

--- a/packages/standins/src/kingcupport/standins/caller_connection.py
+++ b/packages/standins/src/kingcupport/standins/caller_connection.py
@@ -58,8 +58,14 @@
         except OSError as error:
             raise self._broken('connect', error) from None
         self._sock.settimeout(None)
+        self._local_port = self._sock.getsockname()[1]
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @property
+    def local_port(self):
+        """The caller's port, by which logs and packets name it."""
+        return self._local_port
+
     @property
     def reusable(self):
         """Whether another request may be sent after the last answer."""
--- a/packages/standins/src/kingcupport/standins/load_run.py
+++ b/packages/standins/src/kingcupport/standins/load_run.py
@@ -43,6 +43,7 @@
         self._keys = []
         self._unkeyed_ids = []
         self._not_run_ids = []
+        self._started_ms = clock.monotonic_ms()
         self.report = load_report.LoadReport()
         self._pools = {
             target.service: connection_pool.ConnectionPool(
@@ -77,25 +78,23 @@
 
     def send(self):
         """Send the plan's requests and wait until all have ended."""
-        started_ms = self._clock.monotonic_ms()
+        self._started_ms = self._clock.monotonic_ms()
         gevent.joinall(
-            [
-                gevent.spawn(self._send_to, service, started_ms)
-                for service in self._pools
-            ],
+            [gevent.spawn(self._send_to, service) for service in self._pools],
             raise_error=True,
         )
         self._requests.join()
-        self.report.duration_ms = self._clock.monotonic_ms() - started_ms
+        now_ms = self._clock.monotonic_ms()
+        self.report.duration_ms = now_ms - self._started_ms
 
     def close(self):
         """Close the connections and count those that were broken."""
         for service_pool in self._pools.values():
             service_pool.close()
 
-    def _send_to(self, service, started_ms):
+    def _send_to(self, service):
         for elapsed_ms in self._plan.arrivals_ms(self._random):
-            arrival_ms = started_ms + elapsed_ms
+            arrival_ms = self._started_ms + elapsed_ms
             self._clock.sleep_until(arrival_ms)
             request = self._factory.make(service, arrival_ms)
             self.report.requests += 1
@@ -135,7 +134,7 @@
                 self._plan.timeout_ms + ANSWER_GRACE_MS,
             )
         except errors.KingcupportError as error:
-            self.report.add_error(f'{request.attempt_ids[-1]}: {error}')
+            self._add_error(request, f'{error} on {connection.local_port}')
             broken = isinstance(error, caller_connection.ConnectionBrokenError)
             service_pool.discard(connection, broken=broken)
             return NO_ANSWER
@@ -164,13 +163,20 @@
             )
         except echo.EchoError as error:
             self.report.wrong += 1
-            self.report.add_error(f'{request.attempt_ids[-1]}: {error}')
+            self._add_error(request, error)
             return None
         self.report.add_answer(
             request.service, echoed.server, latency_ms, request.straggler
         )
         return None
 
+    def _add_error(self, request, error):
+        elapsed_ms = round(self._clock.monotonic_ms() - self._started_ms)
+        self.report.add_error(
+            f'after {elapsed_ms} ms: {request.attempt_ids[-1]} '
+            f'{request.method} {request.target}: {error}'
+        )
+
     def check_runs(self, server_addresses):
         """Compare the run counts of servers with the answers.
 
