--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -6,6 +6,8 @@
 import gevent
 
 from kingcupport.control import peer_caller
+from kingcupport.requests import claim_fences
+from kingcupport.requests import claim_incarnations
 from kingcupport.requests import claim_index
 from kingcupport.requests import claim_instance_list
 from kingcupport.requests import claim_losses
@@ -47,11 +49,9 @@
         self._context = context
         self._index = index
         self._started_ms = context.now_ms()
-        self._generations = {}
-        self._incarnations = {}
-        self._farewells = set()
+        self._fences = claim_fences.ClaimFences()
+        self._incarnations = claim_incarnations.ClaimIncarnations()
         self._losses = claim_losses.ClaimLosses(context.clock)
-        self._known_gone = set()
         self._previous = set()
         self._required = set()
         self._confirmed = set()
@@ -62,9 +62,9 @@
         self.participating = False
         self.draining = False
         self.epoch = 0
-        members = claim_placement.members_of(
-            context.keeper.fleet, context.service
-        )
+
+        fleet = context.keeper.fleet
+        members = claim_placement.members_of(fleet, context.service)
         self.view = claim_placement.make_claim_view(members, {})
         self._required = set(self.view.active) - {context.name}
         added_revision = dict(members).get(context.name, math.inf)
@@ -85,14 +85,9 @@
     @property
     def complete(self):
         """Whether the index holds every claim of this agent's keys."""
-        if self._complete_from_ms is None:
-            return False
-        if self._context.now_ms() < self._complete_from_ms:
-            return False
-        if self._owned_views != [self.view.active]:
-            self._owned_views = [self.view.active]
-            self._losses.own_ms = 0
-        return True
+        return self._complete_from_ms is not None and (
+            self._context.now_ms() >= self._complete_from_ms
+        )
 
     def key_agent(self, key):
         """Return the name of a key's agent, or None without hosts."""
@@ -138,47 +133,42 @@
 
     def step(self):
         """Check the instance list and ask those whose answer is missing."""
-        self._fence_gone_hosts()
         if not self.active or self.draining:
             return
+        self._fence_gone_hosts()
+        if self._complete_from_ms is not None and not self.paused:
+            return
         missing = self._required - self._confirmed
         if self.paused:
             missing = set(self.view.active) - {self._context.name}
-        if self._complete_from_ms is None or self.paused:
-            tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
-            try:
-                gevent.joinall(tasks)
-            finally:
-                gevent.killall(tasks, block=False)
-            self._evaluate()
+        tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
+        try:
+            gevent.joinall(tasks)
+        finally:
+            gevent.killall(tasks, block=False)
+        self._evaluate()
 
-    def learn_fences(self, fences):
+    def learn_fences(self, generations):
         """Take over higher fence generations from a peer."""
-        known = self._generations
-        newer = {
-            name: generation
-            for name, generation in fences.items()
-            if isinstance(generation, int) and generation > known.get(name, 0)
-        }
+        newer = self._fences.learn(generations)
         if not newer:
             return
-        known.update(newer)
         self._rejoin_when_fenced()
-        rejoined = {name for name, g in newer.items() if g % 2 == 0}
-        self._farewells -= rejoined
         deadline_ms = self._context.now_ms() + self._context.retention_ms
-        for name in rejoined:
-            self._losses.note_return(name, deadline_ms)
+        for name in newer:
+            if not self._fences.absent(name):
+                self._losses.note_return(name, deadline_ms)
         self._change_view(self.view.members)
 
     def answer_list(self, message):
         """Return the ClaimListReply for a peer's ClaimListRequest."""
         context = self._context
         self.learn_fences(message.fences)
+        self._note_complete()
         self.epoch += 1
-        known = self._note_incarnation(message.sender, message.incarnation)
+        known = self._incarnations.note(message.sender, message.incarnation)
         asked_view = claim_placement.make_claim_view(
-            map(tuple, message.members), self._generations
+            map(tuple, message.members), self.fences()
         )
         records, more = self._index.concerning(
             message.sender, asked_view.active, message.after_key
@@ -189,68 +179,72 @@
             revision=context.revision,
             incarnation=context.incarnation,
             members=[list(member) for member in self.view.members],
-            fences=dict(self._generations),
+            fences=self.fences(),
             claims=[claim_record.record_to_plain(r, now_ms) for r in records],
             more=more,
             complete=self._complete_from_ms is not None,
-            loss_ms=_remaining_ms(self._losses.own_ms, now_ms),
-            blind_ms=_remaining_ms(self._complete_from_ms or 0, now_ms),
+            loss_ms=claim_record.remaining_ms(self._own_loss_ms(), now_ms),
+            blind_ms=claim_record.remaining_ms(
+                self._complete_from_ms or 0, now_ms
+            ),
             losses=self._losses.remaining(),
             unconfirmed=sorted(self._unconfirmed()),
+            departed=sorted(self._fences.departed),
             known_incarnation=known,
         )
 
     def fences(self):
         """Return the known fence generation by host name."""
-        return dict(self._generations)
+        return self._fences.generations()
 
     def begin_farewell(self):
         """Fence this agent itself; it grants and claims nothing from now."""
         self.draining = True
-        generation = self._generations.get(self._context.name, 0)
-        if generation % 2 == 0:
-            self._generations[self._context.name] = generation + 1
+        if not self._fences.absent(self._context.name):
+            self._fences.advance(self._context.name)
         self._change_view(self.view.members)
-        return dict(self._generations)
+        return self.fences()
 
-    def on_farewell(self, sender, fences):
-        """Note that an agent left after it handed over its records."""
-        self._farewells.add(sender)
+    def on_farewell(self, sender, fences, delivered):
+        """Note that an agent left after it handed over its records.
+
+        Args:
+            sender: Name of the agent.
+            fences: Fence generations there.
+            delivered: Whether it reached every peer, so that a peer that
+                restarts later need not take its records for lost.
+        """
         self.learn_fences(fences)
-        self._farewells.add(sender)
+        self._fences.note_left(sender, fences, delivered)
         self._evaluate()
 
-    def _note_incarnation(self, peer, incarnation):
-        """Return an earlier incarnation of a peer, or the present one."""
-        earlier, present = self._incarnations.get(
-            peer, (incarnation, incarnation)
-        )
-        if present != incarnation:
-            earlier = present
-        self._incarnations[peer] = (earlier, incarnation)
-        return earlier
+    def _own_loss_ms(self):
+        # A process whose host is not in the fleet cannot tell whether it is
+        # the first one there, or was restarted after its withdrawal.
+        if self._context.name in self.view.names or self.participating:
+            return self._losses.own_ms
+        return self._started_ms + self._context.retention_ms
 
     def _unconfirmed(self):
         if self._complete_from_ms is not None:
             return set()
-        return self._required - self._confirmed - self._farewells
+        return self._required - self._confirmed - self._fences.left
 
     def _rejoin_when_fenced(self):
         name = self._context.name
-        generation = self._generations.get(name, 0)
-        if generation % 2 and not self.draining:
+        if self._fences.absent(name) and not self.draining:
             self._owned_views = None
-            self._generations[name] = generation + 1
+            self._fences.advance(name)
 
     def _on_accept(self, previous_fleet, fleet):
-        members = claim_placement.members_of(fleet, self._context.service)
-        if set(members) != set(self.view.members):
-            self._change_view(members)
+        service = self._context.service
+        self._change_view(claim_placement.members_of(fleet, service))
 
     def _change_view(self, members):
-        view = claim_placement.make_claim_view(members, self._generations)
+        view = claim_placement.make_claim_view(members, self.fences())
         if view == self.view:
             return
+        self._note_complete()
         earlier = set(self.view.active)
         if self._complete_from_ms is None:
             earlier |= self._previous | self._required
@@ -274,34 +268,27 @@
         if now_ms < self._next_instance_check_ms:
             return
         self._next_instance_check_ms = now_ms + INSTANCE_CHECK_INTERVAL_MS
-        if not self.active or self.draining:
-            return
         states = self._context.instance_list.states()
         if states.get(self._context.name) == claim_instance_list.GONE:
             return
-        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
-        # A host that rejoined while the list still calls it gone is alive.
-        fresh = (gone - self._known_gone) & set(self.view.active)
-        self._known_gone = gone
-        if fresh:
-            LOG.warning(
-                'claim_fence', extra={'hosts': ','.join(sorted(fresh))}
-            )
-            self.learn_fences(
-                {n: self._generations.get(n, 0) + 1 for n in fresh}
-            )
+        gone = self._fences.newly_gone(states, self.view.active)
+        if gone:
+            LOG.warning('claim_fence', extra={'hosts': ','.join(sorted(gone))})
+            known = self.fences()
+            self.learn_fences({name: known.get(name, 0) + 1 for name in gone})
 
     def _ask(self, peer):
         context = self._context
-        epoch_view = self.view
+        asked_view = self.view
+        compared = self._compared
         after_key = ''
         while True:
             request = claim_messages.ClaimListRequest(
                 sender=context.name,
                 revision=context.revision,
                 incarnation=context.incarnation,
-                members=[list(member) for member in epoch_view.members],
-                fences=dict(self._generations),
+                members=[list(member) for member in asked_view.members],
+                fences=self.fences(),
                 after_key=after_key,
             )
             deadline_ms = context.now_ms() + ASK_TIMEOUT_MS
@@ -314,10 +301,10 @@
                 LOG.error('claim_rebuild', extra={'reason': str(error)})
                 return
             self.learn_fences(reply.fences)
-            if self.view != epoch_view:
+            if self.view != asked_view:
                 return
             if not reply.more:
-                self._take_answer(peer, reply)
+                self._take_answer(peer, reply, compared)
                 return
             after_key = reply.claims[-1][0]
 
@@ -326,7 +313,7 @@
         for plain in claims:
             self._index.merge(claim_record.record_from_plain(plain, now_ms))
 
-    def _take_answer(self, peer, reply):
+    def _take_answer(self, peer, reply, compared):
         if reply.known_incarnation != self._context.incarnation:
             self._note_restart()
         answered_view = claim_placement.make_claim_view(
@@ -336,15 +323,17 @@
             return
         if self._lacks_copies(peer, reply):
             return
-        self._note_incarnation(peer, reply.incarnation)
+        self._incarnations.note(peer, reply.incarnation)
         self._confirmed.add(peer)
+        for name in reply.departed:
+            self._fences.note_left(name, reply.fences, True)
         self._losses.note_answer(peer, reply.loss_ms, reply.blind_ms)
         known = self._confirmed | {self._context.name}
-        self._losses.note_others(
-            {n: ms for n, ms in reply.losses.items() if n not in known}
-        )
-        self._required |= set(reply.unconfirmed) - {self._context.name}
-        if self.paused:
+        self._losses.note_others(reply.losses, known)
+        self._required |= set(map(str, reply.unconfirmed))
+        self._required -= {self._context.name}
+        # An answer to a question from before the pause does not count.
+        if self.paused and self._compared is compared:
             self._compared.add(peer)
 
     def _lacks_copies(self, peer, reply):
@@ -356,6 +345,12 @@
             and not reply.loss_ms
         )
 
+    def _note_complete(self):
+        """Take a complete index as the base of later views."""
+        if self.complete:
+            self._owned_views = [self.view.active]
+            self._losses.own_ms = 0
+
     def _note_restart(self):
         """Note that this process runs on an outdated fleet after a restart."""
         if not self._losses.own_ms and not self.participating:
@@ -377,22 +372,20 @@
 
     def _all_answered(self):
         states = self._context.instance_list.states()
+        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
         absent = set(self.view.names) - set(self.view.active)
-        missing = self._required - self._confirmed - self._farewells
+        withdrawn = self._required - set(self.view.names)
+        missing = self._required - self._confirmed - self._fences.left
         lost = {
             name
             for name in missing
-            if name in absent or states.get(name) == claim_instance_list.GONE
+            if name in absent or (name in withdrawn and name in gone)
         }
-        open_hosts = missing - lost
-        if open_hosts:
-            may_be_excused = (
-                len(missing) == 1
-                and len(self._previous) > 1
-                and not open_hosts & set(self.view.names)
-            )
-            if not may_be_excused:
-                return False
+        one_withdrawn = len(missing) == 1 and missing <= withdrawn
+        if one_withdrawn and len(self._previous) > 1:
+            lost = missing
+        if missing - lost:
+            return False
         deadline_ms = self._context.now_ms() + self._context.retention_ms
         for name in missing:
             self._losses.note_gone(name, deadline_ms)
@@ -405,7 +398,3 @@
         if len(self._compared) * 2 >= others:
             LOG.info('claim_pause_over', extra={'peers': len(self._compared)})
             self._compared = None
-
-
-def _remaining_ms(deadline_ms, now_ms):
-    return max(0, round(deadline_ms - now_ms))
--- a/packages/requests/src/kingcupport/requests/scheduler.py
+++ b/packages/requests/src/kingcupport/requests/scheduler.py
@@ -1,12 +1,17 @@
 """Queues an agent's requests and runs them here or at peers."""
 
+import collections
+import math
+
 import gevent
 from gevent import event
 
+from kingcupport.requests import _waiting
 from kingcupport.requests import admission
 from kingcupport.requests import answer
 from kingcupport.requests import backend_port
 from kingcupport.requests import drain_rate
+from kingcupport.requests import idle_peers
 from kingcupport.requests import job as job_module
 from kingcupport.requests import queue_order
 from kingcupport.requests import request_runner
@@ -15,6 +20,10 @@
 from kingcupport.requests import scheduler_settings
 
 MAX_ATTEMPTS = 3
+
+# A request is taken ahead only behind a short run; behind a longer one it
+# could as well wait where it is.
+MAX_AHEAD_MS = 50
 EXPIRY_CHECK_MS = 50
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 2000
@@ -44,9 +53,15 @@
         self._sharing = sharing
         self._queue = queue_order.make_queue_order(settings.order)
         self._waiting_long = {}
+        self._started = {}
+        self._ahead = collections.deque()
         self._admission = admission.Admission(settings.wait_percent)
         self._durations = route_durations.RouteDurations()
-        self._drain_rate = drain_rate.DrainRate(clock, slots)
+        # While long runs hold every slot, only peers drain the queue.
+        self._drain_rates = {
+            blocked: drain_rate.DrainRate(clock, slots)
+            for blocked in (False, True)
+        }
         self._budget = retry_budget.RetryBudget()
         self._draining = False
         self._backoff_ms = 0
@@ -71,14 +86,37 @@
         """Whether the agent's server takes requests."""
         return self._server_retry_ms <= self._clock.monotonic_ms()
 
-    @property
-    def has_room(self):
-        """Whether there is a free slot and nothing to run in it."""
+    def room_in_ms(self):
+        """Return when a peer's request could start here.
+
+        Returns:
+            Milliseconds until a slot is expected to be free, or None when
+            no request is to be taken.
+        """
+        if self._queue or self._ahead or self._draining:
+            return None
+        if not self.server_ready:
+            return None
+        wait_ms = self._slot_wait_ms()
+        return wait_ms if wait_ms <= MAX_AHEAD_MS else None
+
+    def needs_peers(self):
+        """Return whether requests wait longer than a transfer takes."""
         return (
-            self._free_slots > 0
-            and not self._queue
+            len(self._queue) > 0
             and not self._draining
-            and self.server_ready
+            and self._slot_wait_ms() > 2 * idle_peers.TRANSFER_MS
+        )
+
+    def _slot_wait_ms(self):
+        if not self.server_ready:
+            return math.inf
+        if self._free_slots:
+            return 0
+        now_ms = self._clock.monotonic_ms()
+        return min(
+            _remaining_ms(job.expected_ms, now_ms - started_ms)
+            for job, started_ms in self._started.items()
         )
 
     def submit(self, request):
@@ -100,20 +138,22 @@
 
         Args:
             request: The Request.
-            finish: Called once with the Answer, or with None when the run
-                was cancelled.
+            finish: Called with the Job when the task ends. Without a result
+                the run was cancelled; without ``started`` it did not run.
 
         Returns:
             The task that runs it, or None when there is no room.
         """
-        if not self.has_room:
+        wait_ms = self.room_in_ms()
+        if wait_ms is None:
             return None
         job = self._make_job(request)
         job.attempts = MAX_ATTEMPTS
-        self._start_here(job)
-        job.task.rawlink(
-            lambda _: finish(job.result.value if job.result.ready() else None)
-        )
+        if wait_ms:
+            self._start_ahead(job)
+        else:
+            self._start_here(job)
+        job.task.rawlink(lambda _: finish(job))
         return job.task
 
     def drain(self):
@@ -130,6 +170,8 @@
         for job in jobs:
             self._finish(job, admission.make_not_run(_DRAINING))
             self._forget(job)
+        for job in self._ahead:
+            job.task.kill(block=False)
         return tuple(job.request for job in jobs)
 
     def stop(self):
@@ -139,12 +181,11 @@
             self._sharing.stop()
 
     def _make_job(self, request):
-        long = self._durations.is_long(request.route)
         return job_module.Job(
             request,
             self._clock.monotonic_ms(),
             self._durations.expected_ms(request.route),
-            long=long and self._caps_long_work,
+            long=self._durations.is_long(request.route),
         )
 
     @property
@@ -159,18 +200,18 @@
         )
 
     def _expected_wait_ms(self, job):
-        if job.long:
+        if job.long and self._caps_long_work:
             # Each agent's fair share of the permits serves its long work.
             work_ms = sum(j.expected_ms for j in self._waiting_long)
             return work_ms / self._sharing.permit_share()
         if self._free_slots and not self._queue:
             return 0
-        return self._drain_rate.wait_ms(
+        return self._drain_rates[self._blocked].wait_ms(
             self._queue.work_ahead_ms(job) + job.expected_ms
         )
 
     def _accept(self, job):
-        if job.long:
+        if job.long and self._caps_long_work:
             self._waiting_long[job] = True
             job.task = gevent.spawn(self._wait_for_permit, job)
             self._not_empty.set()
@@ -193,6 +234,8 @@
 
     def dispatch(self):
         """Start queued requests while a slot or an idle peer is free."""
+        while self._free_slots and self._ahead and self.server_ready:
+            self._start_here(self._ahead.popleft())
         while self._queue and not self._draining:
             if self._free_slots and self.server_ready:
                 job = self._pop()
@@ -205,35 +248,83 @@
             job = self._pop()
             if job is not None:
                 self._start_at_peer(job, offer)
-        self._drain_rate.note_queue(bool(self._queue))
+        self._note_queue()
+        if self._shares_work and self.needs_peers():
+            self._sharing.note_waiting()
+
+    def _note_queue(self):
+        blocked = self._blocked
+        queued = bool(self._queue)
+        self._drain_rates[blocked].note_queue(queued)
+        self._drain_rates[not blocked].note_queue(False)
+
+    @property
+    def _blocked(self):
+        return self._free_slots == 0 and all(job.long for job in self._started)
+
+    @property
+    def _shares_work(self):
+        return self._sharing is not None and self._settings.share_work
 
     def _take_offer(self):
-        if self._sharing is None or not self._settings.share_work:
+        if not self._shares_work:
             return None
-        return self._sharing.idle_peers.take()
+        return self._sharing.idle_peers.take(self._slot_wait_ms())
 
     def _pop(self):
         job = self._queue.pop()
         if job.request.deadline_ms <= self._clock.monotonic_ms():
             self._finish(job, admission.make_not_run(_EXPIRED))
             return None
-        self._drain_rate.note_departure(job.expected_ms)
+        self._drain_rates[self._blocked].note_departure(job.expected_ms)
         return job
 
     def _start_here(self, job):
         self._free_slots -= 1
-        job.task = gevent.spawn(self._run_here, job)
+        self._started[job] = self._clock.monotonic_ms()
+        job.started = True
+        if job.turn is not None:
+            job.turn.set()
+        else:
+            job.task = gevent.spawn(self._run_here, job)
         # A link also runs when the task is killed before it starts.
         job.task.rawlink(lambda task: self._release_slot(job, task))
+        if self._sharing is not None:
+            self._sharing.note_room()
+
+    def _start_ahead(self, job):
+        """Take a request whose slot is soon free, so that it is not idle.
+
+        Without this a slot stands idle for a round trip after each run. If
+        the run takes longer than expected, the request is given back.
+        """
+        job.turn = event.Event()
+        job.task = gevent.spawn(self._run_at_turn, job)
+        self._ahead.append(job)
+
+    def _run_at_turn(self, job):
+        give_back_ms = self._clock.monotonic_ms() + 2 * MAX_AHEAD_MS
+        try:
+            _waiting.wait_until(self._clock, job.turn, give_back_ms)
+        finally:
+            if not job.started:
+                self._ahead.remove(job)
+        if not job.started:
+            return
+        if job.request.deadline_ms <= self._clock.monotonic_ms():
+            self._finish(job, admission.make_not_run(_EXPIRED))
+            return
+        self._run_here(job)
 
     def _release_slot(self, job, task):
         self._free_slots += 1
+        del self._started[job]
         self._check_failure(job, task)
         self._dispatch_and_offer()
 
     def _dispatch_and_offer(self):
         self.dispatch()
-        if self._sharing is not None and self.has_room:
+        if self._sharing is not None:
             self._sharing.note_room()
 
     def _check_failure(self, job, task):
@@ -309,7 +400,7 @@
         """Cancel what is left of a job and free what it holds."""
         if not self._queue.remove(job):
             self._waiting_long.pop(job, None)
-        self._drain_rate.note_queue(bool(self._queue))
+        self._note_queue()
         if job.task is not None:
             job.task.kill(block=False)
         if job.permit is not None:
@@ -340,3 +431,8 @@
                 self._not_empty.clear()
                 continue
             self._clock.sleep_until(now_ms + EXPIRY_CHECK_MS)
+
+
+def _remaining_ms(expected_ms, elapsed_ms):
+    # A run that has lasted longer than expected is likely to last on.
+    return max(expected_ms - elapsed_ms, elapsed_ms / 4, 1)
--- a/packages/requests/src/kingcupport/requests/work_receiver.py
+++ b/packages/requests/src/kingcupport/requests/work_receiver.py
@@ -51,15 +51,16 @@
     Args:
         link: PeerLink.
         clock: Clock of the deadlines.
-        start: Callable that takes a Request and a callable for its Answer,
-            starts to run it and returns the task, or None when there is no
+        start: ``RequestScheduler.start_transferred``.
+        on_refused: Called with the name of a peer whose request found no
             free slot.
     """
 
-    def __init__(self, link, clock, start):
+    def __init__(self, link, clock, start, on_refused):
         self._link = link
         self._clock = clock
         self._start = start
+        self._on_refused = on_refused
         self._senders = collections.OrderedDict()
 
     def handle_transfer(self, message, peer):
@@ -93,7 +94,7 @@
         if message.cancel and record.state == 'running':
             record.task.kill(block=False)
         if message.cancel:
-            return self._reply(record.state)
+            return self._reply(record.state, record.result)
         return self._wait(record)
 
     def running(self):
@@ -120,15 +121,19 @@
         request = self._make_request(message, peer)
         record = self._remember(sender, message.sequence, 'running')
 
-        def finish(result):
-            record.result = result
-            record.state = 'done' if result is not None else 'lost'
+        def finish(job):
+            if job.result.ready():
+                record.result = job.result.value
+                record.state = 'done'
+            else:
+                record.state = 'lost' if job.started else 'refused'
             record.finished.set()
             self._drop_old(sender)
 
         record.task = self._start(request, finish)
         if record.task is None:
             record.state = 'refused'
+            self._on_refused(message.sender)
         return record
 
     def _make_request(self, message, peer):
