Stop passing packets on to a withdrawn agent that has ended

Cause: an agent passes a packet of an unknown connection to the owner under the previous fleet first. When that host had been withdrawn and its agent had ended, the ICMP error was looked up in the fleet in force only, the agent was not avoided, and each retransmission went the same way. The fabric's list of connections showed requests without any acknowledgement for 8 to 15 s. Ruled out: the runners (the packets were never acknowledged) and the handoff (the connections were served again when another balancer had a location hint). The fabric stand-in lists its connections (GET /_connections).

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -383,11 +383,7 @@
             self._control.spreader.on_notice(datagram)
 
     def _on_unreachable(self, destination):
-        agent = self._keeper.fleet.backend_server_at(
-            f'{destination[0]}:{destination[1]}'
-        )
-        if agent is not None:
-            self._suspects.add(agent.name)
+        self._data_path.on_unreachable(destination)
 
 
 def make_agent(settings):
--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -66,12 +66,32 @@
         self.fleet = fleet
         self._tables = fleet_tables.FleetTables(fleet)
         self._previous_tables = self._tables
+        # Agents of the previous fleet only whose port has closed. They have
+        # given their connections away and do not come back.
+        self._ended_agents = set()
 
     def set_fleet(self, fleet):
         """Route by another fleet from now on."""
         self.fleet = fleet
         self._previous_tables = self._tables
         self._tables = fleet_tables.FleetTables(fleet, self._tables)
+        self._ended_agents.clear()
+
+    def on_unreachable(self, destination):
+        """Avoid the agent at an address.
+
+        Args:
+            destination: ``(ip, port)`` whose port is closed.
+        """
+        agent_address = address.Address(*destination)
+        member = self.fleet.backend_server_at(agent_address)
+        if member is not None:
+            self._suspects.add(member.name)
+            return
+        previous = self._previous_tables.fleet
+        member = previous.backend_server_at(agent_address)
+        if member is not None:
+            self._ended_agents.add(member.name)
 
     def receivers(self, connection_id):
         """Return the names of the agents that may take a connection.
@@ -201,7 +221,7 @@
 
     def _agent_address(self, name):
         member = self.fleet.backend_servers.get(name)
-        if member is None:
+        if member is None and name not in self._ended_agents:
             # A withdrawn agent may still own connections while it drains.
             member = self._previous_tables.fleet.backend_servers.get(name)
         if member is None or member.service != self._service:
--- a/packages/standins/src/kingcupport/standins/fabric.py
+++ b/packages/standins/src/kingcupport/standins/fabric.py
@@ -83,6 +83,10 @@
         """Number of connections that have not ended."""
         return len(self._connections)
 
+    def connections(self):
+        """Return the FabricConnections that have not ended, in a list."""
+        return list(self._connections.values())
+
     @property
     def balancer_count(self):
         """Number of balancers that packets are handed to."""
--- a/packages/standins/src/kingcupport/standins/fabric_connection.py
+++ b/packages/standins/src/kingcupport/standins/fabric_connection.py
@@ -94,6 +94,17 @@
         """Number of positions received from the agent."""
         return self._input.next_offset
 
+    def to_plain(self):
+        """Return what is pending, as a JSON object."""
+        return {
+            'connection_id': self.connection_id,
+            'caller_address': self.addresses[0],
+            'service_address': self.addresses[1],
+            'opened': self.opened,
+            'unacknowledged_bytes': self._output.buffered_bytes,
+            'received_bytes': self._input.next_offset,
+        }
+
     @property
     def outstanding(self):
         """Whether ``tick`` has a deadline to check."""
--- a/packages/standins/src/kingcupport/standins/fabric_control.py
+++ b/packages/standins/src/kingcupport/standins/fabric_control.py
@@ -7,7 +7,10 @@
 
 
 class FabricControl:
-    """Serves ``GET /_counts``, ``PUT /_faults`` and ``PUT /_balancers``.
+    """Serves the counts, connections, faults and balancers of a fabric.
+
+    Routes are ``GET /_counts``, ``GET /_connections``, ``PUT /_faults`` and
+    ``PUT /_balancers``.
 
     Args:
         address: Where to listen; port 0 chooses a free one.
@@ -18,6 +21,7 @@
         self._fabric = fabric
         routes = {
             ('GET', '/_counts'): self._get_counts,
+            ('GET', '/_connections'): self._get_connections,
             ('PUT', '/_faults'): self._put_faults,
             ('PUT', '/_balancers'): self._put_balancers,
         }
@@ -43,6 +47,10 @@
         counts['services'] = self._fabric.service_count
         return json_server.JsonReply(200, counts)
 
+    def _get_connections(self, request):
+        plain = [c.to_plain() for c in self._fabric.connections()]
+        return json_server.JsonReply(200, plain)
+
     def _put_faults(self, request):
         self._fabric.faults = fault_documents.read_document(
             request.document, fabric_faults.FabricFaults
