Bound the demo's time and show the reasons of refusals

Cause: with agents that hung, the demo ran for 120 s until it was stopped from outside; refusals were counted without their reason. Change: the demo ends after 53 s with the progress of both deployments; the load report keeps the first refusals with their reason.

--- a/packages/standins/src/kingcupport/standins/demo_command.py
+++ b/packages/standins/src/kingcupport/standins/demo_command.py
@@ -22,9 +22,17 @@
 from kingcupport.standins import report_table
 
 EXIT_FAULTS = 1
+# Stopping the processes takes up to 5 s more.
+LIMIT_MS = 53_000
 SHAPES = (deployment_shape.AGENCE, deployment_shape.LILIN_SERI)
 
 
+class DemoTimeoutError(errors.KingcupportError):
+    """The demo has not ended within its time."""
+
+    code = 'demo_timeout'
+
+
 class DemoCommand(command.Command):
     """``kingcupport-demo``; exits with 1 when anything broke."""
 
@@ -132,7 +140,13 @@
         ]
         tasks = [gevent.spawn(run.run) for run in runs]
         try:
-            gevent.joinall(tasks, raise_error=True)
+            gevent.joinall(tasks, timeout=LIMIT_MS / 1000, raise_error=True)
+            if not all(task.ready() for task in tasks):
+                raise DemoTimeoutError(
+                    f'has not ended after {LIMIT_MS} ms; '
+                    + ', '.join(run.progress() for run in runs),
+                    step='run_demo',
+                )
         finally:
             gevent.killall(tasks)
         return [task.value for task in tasks]
--- a/packages/standins/src/kingcupport/standins/demo_run.py
+++ b/packages/standins/src/kingcupport/standins/demo_run.py
@@ -100,6 +100,14 @@
             report=self._load.report.to_plain(),
         )
 
+    def progress(self):
+        """Return how far the load has come, one line."""
+        report = self._load.report
+        return (
+            f'{self._deployment.shape.name}: {report.answered} of '
+            f'{report.requests} requests answered'
+        )
+
     def _change_fleet(self):
         gevent.sleep(CHANGE_SHARE * self._plan.duration_ms / 1000)
         deployment = self._deployment
--- a/packages/standins/src/kingcupport/standins/load_run.py
+++ b/packages/standins/src/kingcupport/standins/load_run.py
@@ -19,6 +19,7 @@
 MAX_OPEN_REQUESTS = 20_000
 # Beyond the timeout that the request states, for the way back.
 ANSWER_GRACE_MS = 5_000
+SHOWN_REASON_BYTES = 200
 MAX_RETRY_DELAY_MS = 1_000
 
 
@@ -147,6 +148,8 @@
             self.report.refusals[outcome] += 1
             if outcome == NOT_RUN:
                 self._not_run_ids.append(request.attempt_ids[-1])
+            reason = answer.body[:SHOWN_REASON_BYTES].decode(errors='replace')
+            self._add_error(request, f'{outcome}: {reason.strip()}')
             return outcome
         if answer.status != 200:
             self.report.refusals[f'status-{answer.status}'] += 1
