End a withdrawn agent, watch its server and serve the control counts

Ruled out: exiting right after the drain; for 15 s balancers with an old view still send packets that have to be passed on. Change: the drain is a class of its own, a withdrawn agent exits 15 s after it, readiness follows the server and the fleet's entry, metrics mirror the counters in one place for both programs. The program test now gives the note the server address of the settings, because a difference makes the agent not ready.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+import attrs
 import gevent
 from gevent import event
 
@@ -10,6 +11,8 @@
 from kingcupport.agent import connection_mover
 from kingcupport.agent import data_path as data_path_module
 from kingcupport.agent import data_path_counters
+from kingcupport.agent import drain as drain_module
+from kingcupport.agent import own_entry
 from kingcupport.agent import placement
 from kingcupport.common import clock as clock_module
 from kingcupport.connections import connection
@@ -40,7 +43,10 @@
 
 AVOID_MS = 2_000
 # Time for balancers with an old view to send packets that are passed on.
-REDIRECT_LINGER_MS = 2_000
+# A release note is in force everywhere after 15 s; until then balancers with
+# an old view send packets here.
+WITHDRAWN_LINGER_MS = 15_000
+SERVER_CHECK_INTERVAL_MS = 500
 _POLL_MS = 50
 
 
@@ -51,6 +57,10 @@
         settings: AgentSettings.
         clock: Clock.
         rng: random.Random.
+
+    Attributes:
+        finished: Event that is set when the agent was withdrawn and has
+            nothing left to do.
     """
 
     def __init__(self, settings, clock, rng):
@@ -78,8 +88,7 @@
             settings.http_address, self._make_metrics(), self.health
         )
         self._tasks = []
-        self._drained = event.Event()
-        self._drain_task = None
+        self.finished = event.Event()
 
     def _make_control(self):
         settings = self._settings
@@ -181,6 +190,16 @@
             self.counters,
             self.audit,
         )
+        self._drain = drain_module.Drain(
+            settings.limits.drain_timeout_ms,
+            self._clock,
+            self.health,
+            self.audit,
+            self._data_path,
+            self._mover,
+            self._scheduler,
+            self._lent_runs,
+        )
         self._control.server.add_handlers(receiver.handlers())
         self._control.server.add_handlers(self._lent_runs.handlers())
 
@@ -209,23 +228,17 @@
 
     def _make_metrics(self):
         metrics = metrics_module.make_metrics('agent')
-        for name in self._counter_totals():
-            metrics.add_counter(f'{name}_total', f'Total of {name}')
-        for name in self._gauges():
-            metrics.add_gauge(name, f'Current value of {name}')
-
-        def copy_values():
-            for name, value in self._counter_totals().items():
-                metrics.set_total(f'{name}_total', value)
-            for name, value in self._gauges().items():
-                metrics.set_gauge(name, value)
-
-        metrics.before_render(copy_values)
+        metrics.mirror_totals(self._totals)
+        metrics.mirror_gauges(self._gauges)
+        metrics.mirror_events(
+            'control_events_total',
+            'Events of the control plane',
+            self._control.counts,
+        )
         return metrics
 
-    def _counter_totals(self):
-        slots = data_path_counters.counter_names()
-        return {name: getattr(self.counters, name) for name in slots}
+    def _totals(self):
+        return attrs.asdict(self.counters)
 
     def _gauges(self):
         return {
@@ -239,7 +252,7 @@
 
     def _figures(self):
         keyed = self._runner.figures() if self._runner else {}
-        return {**self._counter_totals(), **self._gauges(), **keyed}
+        return {**self._totals(), **self._gauges(), **keyed}
 
     def start(self):
         """Start to learn the fleet; connections are taken once it is known.
@@ -273,11 +286,13 @@
         )
         self._control.server.add_handlers(self._runner.handlers)
         self._factory.runner = self._runner
+        self._drain.keyed_runner = self._runner
         self._runner.start()
         self._keeper.on_accept(self._on_accept)
         self._data_path.set_fleet(self._keeper.fleet)
         self._data_path.started = True
         self._check_own_entry(self._keeper.fleet)
+        self._tasks.append(gevent.spawn(self._watch_server))
         self._tasks.append(
             gevent.spawn(
                 self._mover.rebalance_forever,
@@ -300,18 +315,29 @@
         if was_member and name not in fleet.backend_servers:
             self.audit.record('withdrawn', revision=fleet.revision)
             self.start_drain('withdrawn by a release note')
+            gevent.spawn(self._finish_when_withdrawn)
             return
         self._check_own_entry(fleet)
 
+    def _finish_when_withdrawn(self):
+        self._drain.wait(WITHDRAWN_LINGER_MS)
+        self.finished.set()
+
+    def _watch_server(self):
+        """Report not ready while the backend server takes no requests."""
+        while True:
+            self._clock.sleep_until(
+                self._clock.monotonic_ms() + SERVER_CHECK_INTERVAL_MS
+            )
+            if self._scheduler.server_ready:
+                self._check_own_entry(self._keeper.fleet)
+            else:
+                self.health.set_not_ready('the backend server is away')
+
     def _check_own_entry(self, fleet):
-        entry = fleet.backend_servers.get(self._settings.name)
-        if entry is None:
-            self.health.set_not_ready('not in the fleet')
-        elif (
-            entry.service != self._settings.service
-            or entry.agent_address != self._settings.address
-        ):
-            self.health.set_not_ready('the fleet differs from the settings')
+        reason = own_entry.mismatch(fleet, self._settings)
+        if reason:
+            self.health.set_not_ready(reason)
         else:
             self.health.set_ready()
 
@@ -321,39 +347,11 @@
         Args:
             reason: One line for the audit trail.
         """
-        if self._drain_task is None:
-            self.health.start_draining(reason)
-            self.audit.record('drain_started', reason=reason)
-            self._drain_task = gevent.spawn(self._drain)
-
-    def _drain(self):
-        limits = self._settings.limits
-        deadline_ms = self._clock.monotonic_ms() + limits.drain_timeout_ms
-        self._data_path.draining = True
-        self._mover.move_busy()
-        # Queued requests end as not run; the new owners of their connections
-        # run them.
-        self._scheduler.drain()
-        left = self._mover.move_all(deadline_ms)
-        if self._runner is not None:
-            self._runner.drain(deadline_ms)
-        while (
-            self._has_work_for_others()
-            and self._clock.monotonic_ms() < deadline_ms
-        ):
-            self._clock.sleep_until(self._clock.monotonic_ms() + _POLL_MS)
-        self.audit.record('drain_finished', connections_left=left)
-        self._drained.set()
-
-    def _has_work_for_others(self):
-        return self._lent_runs.unfetched_count or self._scheduler.running
+        self._drain.start(reason)
 
     def wait_drained(self):
         """Block until the drain is over and stale balancers had time."""
-        self._drained.wait()
-        self._clock.sleep_until(
-            self._clock.monotonic_ms() + REDIRECT_LINGER_MS
-        )
+        self._drain.wait()
 
     def stop(self):
         """Stop all tasks and close the sockets."""
--- a/packages/agent/src/kingcupport/agent/data_path_counters.py
+++ b/packages/agent/src/kingcupport/agent/data_path_counters.py
@@ -39,8 +39,3 @@
     handoffs_aborted: int = 0
     handoffs_undecided: int = 0
     reset: int = 0
-
-
-def counter_names():
-    """Return the names of the counters, in a tuple."""
-    return tuple(field.name for field in attrs.fields(DataPathCounters))
--- a/packages/balancer/src/kingcupport/balancer/balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/balancer.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+import attrs
 import gevent
 from gevent import event
 
@@ -36,6 +37,10 @@
         settings: BalancerSettings.
         clock: Clock.
         rng: random.Random.
+
+    Attributes:
+        finished: Event that a process sets which ends by itself; a balancer
+            never does.
     """
 
     def __init__(self, settings, clock, rng):
@@ -77,30 +82,30 @@
         )
         self._tasks = []
         self._drained = event.Event()
+        self.finished = event.Event()
 
     def _make_metrics(self):
         metrics = metrics_module.make_metrics('balancer')
-        names = data_path_counters.counter_names()
-        for name in names:
-            metrics.add_counter(f'{name}_total', f'Total of {name}')
-        metrics.add_gauge('hints', 'Location hints kept')
-        metrics.add_gauge('revision', 'Revision in force')
-
-        def copy_values():
-            for name in names:
-                metrics.set_total(
-                    f'{name}_total', getattr(self.counters, name)
-                )
-            metrics.set_gauge('hints', len(self._hints))
-            metrics.set_gauge('revision', self._keeper.fleet.revision)
-
-        metrics.before_render(copy_values)
+        metrics.mirror_totals(self._totals)
+        metrics.mirror_gauges(self._gauges)
+        metrics.mirror_events(
+            'control_events_total',
+            'Events of the control plane',
+            self._control.counts,
+        )
         return metrics
 
+    def _totals(self):
+        return attrs.asdict(self.counters)
+
+    def _gauges(self):
+        return {
+            'hints': len(self._hints),
+            'revision': self._keeper.fleet.revision,
+        }
+
     def _figures(self):
-        names = data_path_counters.counter_names()
-        totals = {name: getattr(self.counters, name) for name in names}
-        return {**totals, 'hints': len(self._hints)}
+        return {**self._totals(), **self._gauges()}
 
     def start(self):
         """Start to learn the fleet and to forward packets.
--- a/packages/balancer/src/kingcupport/balancer/data_path_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/data_path_counters.py
@@ -28,8 +28,3 @@
     malformed: int = 0
     hints: int = 0
     unreachable: int = 0
-
-
-def counter_names():
-    """Return the names of the counters, in a tuple."""
-    return tuple(field.name for field in attrs.fields(DataPathCounters))
--- a/packages/observability/src/kingcupport/observability/metrics.py
+++ b/packages/observability/src/kingcupport/observability/metrics.py
@@ -80,6 +80,55 @@
                 raise
             return 0
 
+    def mirror_totals(self, read_totals):
+        """Declare counters whose values are kept elsewhere.
+
+        Args:
+            read_totals: Returns the totals by name; called once now for the
+                names and before each rendering for the values. The metrics'
+                names get the suffix ``_total``.
+        """
+        for name in read_totals():
+            self.add_counter(f'{name}_total', f'Total of {name}')
+
+        def copy_totals():
+            for name, value in read_totals().items():
+                self.set_total(f'{name}_total', value)
+
+        self.before_render(copy_totals)
+
+    def mirror_gauges(self, read_gauges):
+        """Declare gauges whose values are kept elsewhere.
+
+        Args:
+            read_gauges: Returns the values by name; called once now for the
+                names and before each rendering for the values.
+        """
+        for name in read_gauges():
+            self.add_gauge(name, f'Current value of {name}')
+
+        def copy_gauges():
+            for name, value in read_gauges().items():
+                self.set_gauge(name, value)
+
+        self.before_render(copy_gauges)
+
+    def mirror_events(self, name, description, counts):
+        """Declare a counter with one label value for each key of a mapping.
+
+        Args:
+            name: Short name of the counter.
+            description: One line for the reader of the metrics.
+            counts: Mapping of totals by event; keys may be added later.
+        """
+        self.add_counter(name, description)
+
+        def copy_events():
+            for event, value in counts.items():
+                self.set_total(name, value, event=event)
+
+        self.before_render(copy_events)
+
     def before_render(self, callback):
         """Call a function without arguments before each rendering."""
         self._callbacks.append(callback)
--- a/packages/observability/src/kingcupport/observability/program.py
+++ b/packages/observability/src/kingcupport/observability/program.py
@@ -19,13 +19,14 @@
 
 
 def run(program, settings_class, make_daemon, arguments):
-    """Run a daemon until SIGTERM or SIGINT, which drain it.
+    """Run a daemon until SIGTERM or SIGINT drain it, or until it finishes.
 
     Args:
         program: Name of the program.
         settings_class: attrs class of its settings, with a field ``log``.
         make_daemon: Takes the settings; returns an object with ``start``,
-            ``start_drain(reason)``, ``wait_drained`` and ``stop``.
+            ``start_drain(reason)``, ``wait_drained``, ``stop`` and the event
+            ``finished``.
         arguments: Command line without the program's name.
 
     Returns:
@@ -48,7 +49,7 @@
     except OSError as error:
         LOG.error('cannot start', extra={'reason': str(error)})
         return EXIT_FAILED
-    _wait_for_signal()
+    _wait_for_end(daemon.finished)
     daemon.start_drain('signal')
     daemon.wait_drained()
     daemon.stop()
@@ -56,8 +57,8 @@
     return EXIT_OK
 
 
-def _wait_for_signal():
+def _wait_for_end(finished):
     stopped = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
-    stopped.wait()
+    gevent.wait([stopped, finished], count=1)
--- /dev/null
+++ b/tests/agent/test_own_entry.py
@@ -0,0 +1,55 @@
+"""Guards against an agent that serves with settings the fleet contradicts."""
+
+import attrs
+import pytest
+
+from kingcupport.agent import own_entry
+from kingcupport.agent import settings as agent_settings
+from kingcupport.common import address
+from kingcupport.fleet import backend_server
+from kingcupport.fleet import fleet as fleet_module
+from kingcupport.fleet import service
+
+_AGENT = address.Address('127.0.0.1', 9000)
+_SERVER = address.Address('127.0.0.1', 8000)
+_ENTRY = backend_server.BackendServer(
+    'gate-1', 'gate', _AGENT, _SERVER, 'dakar-plateau'
+)
+_SETTINGS = agent_settings.AgentSettings(
+    name='gate-1',
+    service='gate',
+    data_centre='dakar-plateau',
+    address=_AGENT,
+    server_address=_SERVER,
+    http_address=address.Address('127.0.0.1', 9001),
+    configuration_address=address.Address('127.0.0.1', 9002),
+)
+
+
+def _make_fleet(entry):
+    services = {
+        name: service.Service(name, address.Address('127.0.0.1', port))
+        for name, port in (('gate', 80), ('audio', 81))
+    }
+    return fleet_module.Fleet(1, 'd', services, {}, {entry.name: entry})
+
+
+def test_matching_entry():
+    assert own_entry.mismatch(_make_fleet(_ENTRY), _SETTINGS) == ''
+
+
+@pytest.mark.parametrize(
+    ('changes', 'words'),
+    [
+        ({'name': 'gate-2'}, 'not in the fleet'),
+        ({'service': 'audio'}, 'service'),
+        ({'agent_address': address.Address('127.0.0.1', 9003)}, 'address'),
+        (
+            {'server_address': address.Address('127.0.0.1', 1)},
+            'server_address',
+        ),
+    ],
+)
+def test_difference_is_named(changes, words):
+    entry = attrs.evolve(_ENTRY, **changes)
+    assert words in own_entry.mismatch(_make_fleet(entry), _SETTINGS)
--- a/tests/cli/test_programs.py
+++ b/tests/cli/test_programs.py
@@ -64,6 +64,7 @@
     http = ports.take(), ports.take()
     note = cli_support.NOTE_1.replace('192.0.2.20:7000', str(balancer))
     note = note.replace('192.0.2.30:7000', str(agent))
+    note = note.replace('192.0.2.30:8080', str(server))
     (tmp_path / 'note-1').write_text(note)
     published = tmp_path / 'published'
     cli_support.run(
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -78,7 +78,8 @@
 def test_counters_are_listed(program, counters):
     table = _PAGE.split(f'| {program} | meaning |', 1)[1].split('\n\n', 1)[0]
     listed = set(re.findall(r'`(\w+)_total`', table))
-    assert listed == set(counters.counter_names())
+    counted = set(attrs.fields_dict(counters.DataPathCounters))
+    assert listed == counted | {'control_events'}
 
 
 def test_metrics_of_alerts_are_listed():
