Prove pairs of faults and end the test deployments at once

Cause: the fault matrix has rows for pairs of faults, and each fault test spent seconds on draining agents that had nobody to hand over to. Change: four tests of pairs; the fixture kills its processes.

--- a/tests/fault_bed.py
+++ b/tests/fault_bed.py
@@ -59,9 +59,11 @@
         self.deployment.wait_in_force(IN_FORCE_LIMIT_MS)
 
     def stop(self):
-        """Stop all processes."""
+        """Kill all processes; draining them all would have no receiver."""
         if self._task is not None:
             self._task.kill()
+        for name in filter(self.group.running, self.group.names()):
+            self.group.kill(name)
         self.group.stop_all()
 
     def members(self, service):
--- /dev/null
+++ b/tests/faults/test_fault_pairs.py
@@ -0,0 +1,86 @@
+"""Guards the promises when two faults come together."""
+
+import fault_bed
+
+from kingcupport.standins import json_client
+
+
+def _stop_configuration_service(bed):
+    json_client.call(
+        bed.deployment.configuration_address,
+        'PUT',
+        '/_faults',
+        {name: {'down': True} for name in ('notes', 'fleet', 'instances')},
+    )
+
+
+def test_balancer_dies_while_an_agent_drains(bed):
+    """Handoffs go on while packets are lost with the balancer."""
+    bed.start_load(
+        duration_ms=6_000,
+        connections_count=40,
+        rate_per_s=60,
+        service_time_ms=20,
+    )
+    fault_bed.sleep_ms(2_000)
+    leaving = bed.members('ticketing')[0]
+    bed.group.terminate(leaving.name)
+    bed.group.kill(bed.members('')[0].name)
+    report = bed.finish_load()
+    fault_bed.assert_unharmed(report)
+    assert bed.group.wait(leaving.name, 30_000) == 0
+
+
+def test_agent_dies_while_the_service_is_down(bed):
+    """Nobody can publish a note; the others serve, nothing runs twice."""
+    _stop_configuration_service(bed)
+    bed.start_load(
+        duration_ms=8_000,
+        connections_count=40,
+        rate_per_s=60,
+        keyed_percent=50,
+        unkeyed_percent=10,
+    )
+    fault_bed.sleep_ms(2_000)
+    bed.group.kill(bed.members('ticketing')[0].name)
+    fault_bed.assert_safe(bed.finish_load())
+
+
+def test_agent_restarts_while_another_is_paused(bed):
+    """The restarted key agent cannot ask the paused one for its claims."""
+    bed.start_load(
+        duration_ms=10_000,
+        connections_count=40,
+        rate_per_s=60,
+        keyed_percent=60,
+    )
+    fault_bed.sleep_ms(2_000)
+    restarted, paused, *_ = bed.members('ticketing')
+    bed.group.pause(paused.name)
+    bed.group.kill(restarted.name)
+    bed.deployment.start_member_process(restarted)
+    fault_bed.sleep_ms(3_000)
+    bed.group.resume(paused.name)
+    fault_bed.assert_safe(bed.finish_load())
+
+
+def test_note_comes_while_a_balancer_dies_and_an_agent_is_paused(bed):
+    """A withdrawn agent hands over although one receiver is paused."""
+    bed.start_load(
+        duration_ms=9_000,
+        connections_count=40,
+        rate_per_s=60,
+        keyed_percent=40,
+    )
+    fault_bed.sleep_ms(2_000)
+    leaving, paused, *_ = bed.members('ticketing')
+    bed.group.pause(paused.name)
+    bed.group.kill(bed.members('')[0].name)
+    bed.deployment.publish({'withdrawn': {'backend_servers': [leaving.name]}})
+    fault_bed.sleep_ms(2_000)
+    bed.group.resume(paused.name)
+    fault_bed.sleep_ms(fault_bed.NO_NEW_WORK_AFTER_MS)
+    runs_then = bed.deployment.runs_of(leaving)
+    report = bed.finish_load()
+    fault_bed.assert_safe(report)
+    assert bed.deployment.runs_of(leaving) == runs_then
