Test that a start compares with more than one peer

Ruled out: more examples, which cost time at every run for one known case. Change: a test with the newer revision at each of the peers in turn. Before: the change to one peer passed all tests. After: it fails this one.

--- a/tests/control/test_revision_spreader.py
+++ b/tests/control/test_revision_spreader.py
@@ -141,3 +141,13 @@
     parts.caller.keepers[ADDRESSES[2]] = parts.make_keeper(FIRST, note)
     assert parts.spreader.compare_with_peers() == 1
     assert parts.keeper.fleet.revision == 2
+
+
+@pytest.mark.parametrize('ahead', ADDRESSES[1:])
+def test_comparison_does_not_stop_at_one_stale_peer(parts, ahead):
+    # Guards against a restart that trusts the first peer that answers.
+    note = support.make_note(parts.keeper.fleet)
+    parts.caller.keepers = dict.fromkeys(ADDRESSES, parts.make_keeper(FIRST))
+    parts.caller.keepers[ahead] = parts.make_keeper(FIRST, note)
+    assert parts.spreader.compare_with_peers() == 3
+    assert parts.keeper.fleet.revision == 2
