--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -5,7 +5,9 @@
 
 import gevent
 
+from kingcupport.common import errors
 from kingcupport.control import peer_caller
+from kingcupport.requests import claim_comparison
 from kingcupport.requests import claim_fences
 from kingcupport.requests import claim_incarnations
 from kingcupport.requests import claim_index
@@ -53,12 +55,11 @@
         self._incarnations = claim_incarnations.ClaimIncarnations()
         self._losses = claim_losses.ClaimLosses(context.clock)
         self._previous = set()
-        self._required = set()
         self._confirmed = set()
         self._owned_views = None
         self._complete_from_ms = None
         self._next_instance_check_ms = 0
-        self._compared = None
+        self._comparison = claim_comparison.ClaimComparison()
         self.participating = False
         self.draining = False
         self.epoch = 0
@@ -75,7 +76,7 @@
     @property
     def paused(self):
         """Whether a pause was noticed and no peers were compared since."""
-        return self._compared is not None
+        return self._comparison.open
 
     @property
     def active(self):
@@ -121,14 +122,17 @@
     def on_pause(self, late_ms):
         """Block claims until the view was compared with the peers."""
         LOG.warning('claim_pause', extra={'late_ms': round(late_ms)})
-        self._compared = set()
+        self._comparison.begin()
         self.epoch += 1
 
     def run(self):
         """Ask peers whenever something is missing; to be spawned."""
         clock = self._context.clock
         while True:
-            self.step()
+            try:
+                self.step()
+            except errors.KingcupportError as error:
+                LOG.error('claim_rebuild', extra={'reason': str(error)})
             clock.sleep_until(clock.monotonic_ms() + STEP_INTERVAL_MS)
 
     def step(self):
@@ -136,11 +140,12 @@
         if not self.active or self.draining:
             return
         self._fence_gone_hosts()
-        if self._complete_from_ms is not None and not self.paused:
-            return
-        missing = self._required - self._confirmed
         if self.paused:
             missing = set(self.view.active) - {self._context.name}
+        elif self._complete_from_ms is None:
+            missing = self._required - self._confirmed
+        else:
+            return
         tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
         try:
             gevent.joinall(tasks)
@@ -198,24 +203,33 @@
         return self._fences.generations()
 
     def begin_farewell(self):
-        """Fence this agent itself; it grants and claims nothing from now."""
+        """Fence this agent itself; it grants and claims nothing from now.
+
+        Returns:
+            Whether this process lost no claims, so that its records make up
+            for it.
+        """
+        in_order = self.participating and not self._losses.own_ms
         self.draining = True
         if not self._fences.absent(self._context.name):
             self._fences.advance(self._context.name)
         self._change_view(self.view.members)
-        return self.fences()
+        return in_order
 
-    def on_farewell(self, sender, fences, delivered):
-        """Note that an agent left after it handed over its records.
+    def on_farewell(self, message):
+        """Take over a draining agent's fence.
+
+        Only the records of an agent that lost none itself and that placed
+        them among the same hosts make up for its absence.
 
         Args:
-            sender: Name of the agent.
-            fences: Fence generations there.
-            delivered: Whether it reached every peer, so that a peer that
-                restarts later need not take its records for lost.
+            message: ClaimHandover that is a farewell.
         """
+        fences = message.fences
         self.learn_fences(fences)
-        self._fences.note_left(sender, fences, delivered)
+        same = set(map(tuple, message.members)) == set(self.view.members)
+        if message.in_order and same:
+            self._fences.note_left(message.sender, fences, message.delivered)
         self._evaluate()
 
     def _own_loss_ms(self):
@@ -231,14 +245,13 @@
         return self._required - self._confirmed - self._fences.left
 
     def _rejoin_when_fenced(self):
-        name = self._context.name
-        if self._fences.absent(name) and not self.draining:
+        if self._fences.absent(self._context.name) and not self.draining:
             self._owned_views = None
-            self._fences.advance(name)
+            self._fences.advance(self._context.name)
 
     def _on_accept(self, previous_fleet, fleet):
-        service = self._context.service
-        self._change_view(claim_placement.members_of(fleet, service))
+        members = claim_placement.members_of(fleet, self._context.service)
+        self._change_view(members)
 
     def _change_view(self, members):
         view = claim_placement.make_claim_view(members, self.fences())
@@ -251,16 +264,13 @@
         self.view = view
         self.epoch += 1
         self._previous = earlier
-        self._required = (earlier | set(self.view.active)) - {
-            self._context.name
-        }
+        self._required = earlier | set(self.view.active)
+        self._required -= {self._context.name}
         self._confirmed = set()
         self._complete_from_ms = None
-        if not self.active:
-            self._owned_views = None
-        elif self._owned_views is not None:
+        if self._owned_views is not None:
             self._owned_views.append(self.view.active)
-            if len(self._owned_views) > MAX_OWNED_VIEWS:
+            if not self.active or len(self._owned_views) > MAX_OWNED_VIEWS:
                 self._owned_views = None
 
     def _fence_gone_hosts(self):
@@ -274,13 +284,12 @@
         gone = self._fences.newly_gone(states, self.view.active)
         if gone:
             LOG.warning('claim_fence', extra={'hosts': ','.join(sorted(gone))})
-            known = self.fences()
-            self.learn_fences({name: known.get(name, 0) + 1 for name in gone})
+            self.learn_fences(gone)
 
     def _ask(self, peer):
         context = self._context
         asked_view = self.view
-        compared = self._compared
+        token = self._comparison.token
         after_key = ''
         while True:
             request = claim_messages.ClaimListRequest(
@@ -294,26 +303,26 @@
             deadline_ms = context.now_ms() + ASK_TIMEOUT_MS
             try:
                 reply = context.caller.call(peer, request, deadline_ms)
-                self._merge_claims(reply.claims)
+                for plain in reply.claims:
+                    self._merge(plain)
             except peer_caller.PeerError:
                 return
-            except claim_index.ClaimIndexFullError as error:
+            except (claim_index.ClaimIndexFullError, ValueError) as error:
                 LOG.error('claim_rebuild', extra={'reason': str(error)})
                 return
             self.learn_fences(reply.fences)
             if self.view != asked_view:
                 return
             if not reply.more:
-                self._take_answer(peer, reply, compared)
+                self._take_answer(peer, reply, token)
                 return
             after_key = reply.claims[-1][0]
 
-    def _merge_claims(self, claims):
+    def _merge(self, plain):
         now_ms = self._context.now_ms()
-        for plain in claims:
-            self._index.merge(claim_record.record_from_plain(plain, now_ms))
+        self._index.merge(claim_record.record_from_plain(plain, now_ms))
 
-    def _take_answer(self, peer, reply, compared):
+    def _take_answer(self, peer, reply, token):
         if reply.known_incarnation != self._context.incarnation:
             self._note_restart()
         answered_view = claim_placement.make_claim_view(
@@ -332,14 +341,12 @@
         self._losses.note_others(reply.losses, known)
         self._required |= set(map(str, reply.unconfirmed))
         self._required -= {self._context.name}
-        # An answer to a question from before the pause does not count.
-        if self.paused and self._compared is compared:
-            self._compared.add(peer)
+        self._comparison.note(peer, token)
 
     def _lacks_copies(self, peer, reply):
         """Whether a new host may not yet know claims that were lost here."""
         return (
-            self._losses.own_ms > 0
+            self._losses.own_ms > self._context.now_ms()
             and peer in self.view.names
             and not reply.complete
             and not reply.loss_ms
@@ -358,12 +365,11 @@
             self._confirmed = set()
 
     def _evaluate(self):
-        self._end_pause()
+        self._comparison.end(len(self.view.active) - 1)
         if self._complete_from_ms is not None or not self.active:
             return
-        if not self._all_answered():
-            return
-        if len(self.view.names) > 1 and len(self.view.active) < 2:
+        no_second = len(self.view.names) > 1 and len(self.view.active) < 2
+        if no_second or not self._all_answered():
             return
         self.participating = True
         # Claims of a host that was alone had no second copy.
@@ -390,11 +396,3 @@
         for name in missing:
             self._losses.note_gone(name, deadline_ms)
         return True
-
-    def _end_pause(self):
-        if not self.paused:
-            return
-        others = len(self.view.active) - 1
-        if len(self._compared) * 2 >= others:
-            LOG.info('claim_pause_over', extra={'peers': len(self._compared)})
-            self._compared = None
