Keep the demo's logs of tests in the test's directory

Cause: the test that stops the demo by a signal left its logs in the system's temporary directory. Change: tests set TMPDIR; the other test checks that a run without faults removes its logs.

--- a/tests/standins/test_demo.py
+++ b/tests/standins/test_demo.py
@@ -1,6 +1,7 @@
 """Guards against a demo that breaks connections or leaves processes."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -24,11 +25,12 @@
         gevent.sleep(0.05)
 
 
-def test_nothing_breaks_over_a_release_note():
+def test_nothing_breaks_over_a_release_note(tmp_path):
     process = subprocess.Popen(
         [*_DEMO, '--duration-ms=8000', '--json'],
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
+        env=os.environ | {'TMPDIR': str(tmp_path)},
     )
     started = set()
     deadline = time.monotonic() + 60
@@ -43,12 +45,17 @@
     assert all(r['report']['answered'] > 300 for r in results)
     assert all(r['second_note_ms'] < 5000 for r in results)
     assert len(started) > 30
+    # The logs of a run without faults are removed.
+    assert list(tmp_path.iterdir()) == []
     assert not any(pathlib.Path(f'/proc/{p}').exists() for p in started)
 
 
-def test_processes_are_stopped_after_a_signal():
+def test_processes_are_stopped_after_a_signal(tmp_path):
     process = subprocess.Popen(
-        _DEMO, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+        _DEMO,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        env=os.environ | {'TMPDIR': str(tmp_path)},
     )
     deadline = time.monotonic() + 20
     while len(_children(process.pid)) < 28:
