--- a/tests/requests/test_work_sharing_faults.py
+++ b/tests/requests/test_work_sharing_faults.py
@@ -9,7 +9,7 @@
 from kingcupport.wire import work_messages
 
 
-class Machine(stateful.RuleBasedStateMachine):
+class WorkSharingMachine(stateful.RuleBasedStateMachine):
     """Any faults in any order."""
 
     def __init__(self):
@@ -135,7 +135,7 @@
         world.stop()
 
 
-Machine.TestCase.settings = settings(
+WorkSharingMachine.TestCase.settings = settings(
     derandomize=True, max_examples=100, stateful_step_count=30, deadline=None
 )
-TestMachine = Machine.TestCase
+TestWorkSharing = WorkSharingMachine.TestCase
