Share the frame of the two daemons

Ruled out: a registry of parts; an abstract base class with three hooks is what both need. Change: control.daemon.Daemon.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -1,11 +1,8 @@
 """The agent: all parts put together, started and drained."""
 
-import logging
 import random
 
-import attrs
 import gevent
-from gevent import event
 
 from kingcupport.agent import connection_factory
 from kingcupport.agent import connection_mover
@@ -20,14 +17,10 @@
 from kingcupport.connections import handoff_receiver
 from kingcupport.connections import handoff_sender
 from kingcupport.connections import lent_runs
-from kingcupport.control import control_plane
+from kingcupport.control import daemon
 from kingcupport.control import instance_list
 from kingcupport.control import polled_instance_list
 from kingcupport.fleet import service as service_module
-from kingcupport.observability import audit_trail
-from kingcupport.observability import health as health_module
-from kingcupport.observability import http_server
-from kingcupport.observability import metrics as metrics_module
 from kingcupport.requests import backend_port
 from kingcupport.requests import keyed_runner
 from kingcupport.requests import peer_loads
@@ -35,75 +28,43 @@
 from kingcupport.requests import service_view
 from kingcupport.requests import work_sharing
 from kingcupport.routing import suspects as suspects_module
-from kingcupport.wire import datagram_socket
-from kingcupport.wire import datagrams
 from kingcupport.wire import packet_format
 
-LOG = logging.getLogger(__name__)
-
 AVOID_MS = 2_000
-# Time for balancers with an old view to send packets that are passed on.
 # A release note is in force everywhere after 15 s; until then balancers with
 # an old view send packets here.
 WITHDRAWN_LINGER_MS = 15_000
 SERVER_CHECK_INTERVAL_MS = 500
-_POLL_MS = 50
 
 
-class Agent:
+class Agent(daemon.Daemon):
     """One kingcupport-agent process.
 
+    It finishes by itself when it was withdrawn and has nothing left to do.
+
     Args:
         settings: AgentSettings.
         clock: Clock.
         rng: random.Random.
-
-    Attributes:
-        finished: Event that is set when the agent was withdrawn and has
-            nothing left to do.
     """
 
     def __init__(self, settings, clock, rng):
-        self._settings = settings
-        self._clock = clock
-        self._rng = rng
-        self.health = health_module.Health()
-        self.audit = audit_trail.AuditTrail(clock)
-        self.counters = data_path_counters.DataPathCounters()
+        super().__init__(
+            'agent',
+            settings,
+            clock,
+            rng,
+            data_path_counters.DataPathCounters(),
+        )
         self._suspects = suspects_module.Suspects(clock, AVOID_MS)
         self._table = connection_table.ConnectionTable(
             clock, settings.limits.max_connections_count
         )
-        self._socket = datagram_socket.DatagramSocket(
-            settings.address, self._on_unreachable
-        )
-        self._control = self._make_control()
-        self._keeper = self._control.keeper
         self._request_ids = connection.request_counter(
             f'{settings.name}-{rng.getrandbits(48):012x}'
         )
         self._make_requests()
         self._make_connections()
-        self._http = http_server.make_http_server(
-            settings.http_address, self._make_metrics(), self.health
-        )
-        self._tasks = []
-        self.finished = event.Event()
-
-    def _make_control(self):
-        settings = self._settings
-        return control_plane.make_control_plane(
-            name=settings.name,
-            address=settings.address,
-            clock=self._clock,
-            rng=self._rng,
-            audit=self.audit,
-            send_datagram=self._send_to_address,
-            reader=settings.configuration_address,
-            seeds=settings.seeds,
-            state=lambda: str(self.health.state),
-            figures=self._figures,
-        )
 
     def _make_requests(self):
         settings = self._settings
@@ -226,20 +187,6 @@
             counters=self.counters,
         )
 
-    def _make_metrics(self):
-        metrics = metrics_module.make_metrics('agent')
-        metrics.mirror_totals(self._totals)
-        metrics.mirror_gauges(self._gauges)
-        metrics.mirror_events(
-            'control_events_total',
-            'Events of the control plane',
-            self._control.counts,
-        )
-        return metrics
-
-    def _totals(self):
-        return attrs.asdict(self.counters)
-
     def _gauges(self):
         return {
             'connections': len(self._table),
@@ -247,32 +194,18 @@
             'lent_runs': self._lent_runs.running_count,
             'queued_requests': self._scheduler.queued,
             'running_requests': self._scheduler.running,
-            'revision': self._keeper.fleet.revision,
         }
 
     def _figures(self):
         keyed = self._runner.figures() if self._runner else {}
-        return {**self._totals(), **self._gauges(), **keyed}
+        return {**super()._figures(), **keyed}
 
     def start(self):
-        """Start to learn the fleet; connections are taken once it is known.
+        """Implement ``Daemon.start``; packets wait for the fleet."""
+        self.start_tasks(self._data_path.on_data)
+        self._spawn(self._instances.run)
 
-        Raises:
-            OSError: An address cannot be used.
-        """
-        self._http.start()
-        self._control.start()
-        self._tasks = [
-            gevent.spawn(
-                self._socket.receive_forever, self._data_path.on_data
-            ),
-            gevent.spawn(self._instances.run),
-            gevent.spawn(self._become_ready),
-        ]
-
-    def _become_ready(self):
-        while not self._control.ready:
-            self._clock.sleep_until(self._clock.monotonic_ms() + _POLL_MS)
+    def _on_ready(self):
         self._runner = keyed_runner.make_keyed_request_runner(
             name=self._settings.name,
             service=self._settings.service,
@@ -292,20 +225,11 @@
         self._data_path.set_fleet(self._keeper.fleet)
         self._data_path.started = True
         self._check_own_entry(self._keeper.fleet)
-        self._tasks.append(gevent.spawn(self._watch_server))
-        self._tasks.append(
-            gevent.spawn(
-                self._mover.rebalance_forever,
-                self._settings.limits.rebalance_per_s,
-                lambda: self._data_path.draining,
-            )
-        )
-        LOG.info(
-            'agent started',
-            extra={
-                'agent': self._settings.name,
-                'revision': self._keeper.fleet.revision,
-            },
+        self._spawn(self._watch_server)
+        self._spawn(
+            self._mover.rebalance_forever,
+            self._settings.limits.rebalance_per_s,
+            lambda: self._data_path.draining,
         )
 
     def _on_accept(self, previous, fleet):
@@ -355,13 +279,10 @@
 
     def stop(self):
         """Stop all tasks and close the sockets."""
-        gevent.killall(self._tasks, block=False)
         if self._runner is not None:
             self._runner.stop()
         self._scheduler.stop()
-        self._control.stop()
-        self._http.stop(timeout=1)
-        self._socket.close()
+        super().stop()
 
     def _handoff_refusal(self):
         if self.health.draining:
@@ -373,13 +294,6 @@
     def _send_packet(self, packet):
         self._data_path.send_packet(packet)
 
-    def _send_to_address(self, data, address):
-        self._socket.send(data, address.as_tuple())
-
-    def _on_datagram(self, datagram, source):
-        if isinstance(datagram, datagrams.RevisionNotice):
-            self._control.spreader.on_notice(datagram)
-
     def _on_unreachable(self, destination):
         self._data_path.on_unreachable(destination)
 
--- /dev/null
+++ b/packages/control/src/kingcupport/control/daemon.py
@@ -0,0 +1,168 @@
+"""What the two daemons have in common."""
+
+import abc
+import logging
+
+import attrs
+import gevent
+from gevent import event
+
+from kingcupport.control import control_plane
+from kingcupport.observability import audit_trail
+from kingcupport.observability import health as health_module
+from kingcupport.observability import http_server
+from kingcupport.observability import metrics as metrics_module
+from kingcupport.wire import datagram_socket
+from kingcupport.wire import datagrams
+
+LOG = logging.getLogger(__name__)
+
+READY_POLL_MS = 50
+
+
+class Daemon(abc.ABC):
+    """One process with a UDP socket, control plane, metrics and health.
+
+    A subclass builds its data path in its constructor and gives it to
+    ``start_tasks``.
+
+    Args:
+        program: ``balancer`` or ``agent``.
+        settings: Its settings; both classes have the fields used here.
+        clock: Clock.
+        rng: random.Random.
+        counters: attrs class of integer counters of the data path.
+
+    Attributes:
+        health: Health of the process.
+        audit: AuditTrail of the process.
+        counters: As given.
+        finished: Event that is set when the process ends by itself.
+    """
+
+    def __init__(self, program, settings, clock, rng, counters):
+        self.health = health_module.Health()
+        self.audit = audit_trail.AuditTrail(clock)
+        self.counters = counters
+        self.finished = event.Event()
+        self._program = program
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._tasks = []
+        self._http = None
+        self._socket = datagram_socket.DatagramSocket(
+            settings.address, self._on_unreachable
+        )
+        self._control = control_plane.make_control_plane(
+            name=settings.name,
+            address=settings.address,
+            clock=clock,
+            rng=rng,
+            audit=self.audit,
+            send_datagram=self._send_to_address,
+            reader=settings.configuration_address,
+            seeds=settings.seeds,
+            state=lambda: str(self.health.state),
+            figures=self._figures,
+        )
+        self._keeper = self._control.keeper
+
+    @abc.abstractmethod
+    def start(self):
+        """Start to learn the fleet and to handle packets.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+
+    @abc.abstractmethod
+    def start_drain(self, reason):
+        """Prepare the end of the process without harm to callers.
+
+        Args:
+            reason: One line for the audit trail.
+        """
+
+    @abc.abstractmethod
+    def wait_drained(self):
+        """Block until the process may be stopped."""
+
+    @abc.abstractmethod
+    def _on_unreachable(self, destination):
+        """Handle ``(ip, port)`` of a peer whose port is closed."""
+
+    @abc.abstractmethod
+    def _on_ready(self):
+        """Go to work; the fleet is known and was compared with peers."""
+
+    @abc.abstractmethod
+    def _gauges(self):
+        """Return the values of the process's gauges by name."""
+
+    def start_tasks(self, on_data):
+        """Start all servers and tasks.
+
+        Args:
+            on_data: Called as ``on_data(data, source)`` for each datagram.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        self._http = http_server.make_http_server(
+            self._settings.http_address, self._make_metrics(), self.health
+        )
+        self._http.start()
+        self._control.start()
+        self._spawn(self._socket.receive_forever, on_data)
+        self._spawn(self._wait_ready)
+
+    def _spawn(self, function, *arguments):
+        self._tasks.append(gevent.spawn(function, *arguments))
+
+    def _wait_ready(self):
+        while not self._control.ready:
+            self._clock.sleep_until(self._clock.monotonic_ms() + READY_POLL_MS)
+        self._on_ready()
+        LOG.info(
+            'process started',
+            extra={
+                'program': self._program,
+                'instance': self._settings.name,
+                'revision': self._keeper.fleet.revision,
+            },
+        )
+
+    def stop(self):
+        """Stop all tasks and close the sockets."""
+        gevent.killall(self._tasks, block=False)
+        self._control.stop()
+        self._http.stop(timeout=1)
+        self._socket.close()
+
+    def _make_metrics(self):
+        metrics = metrics_module.make_metrics(self._program)
+        metrics.mirror_totals(self._totals)
+        metrics.mirror_gauges(self._all_gauges)
+        metrics.mirror_events(
+            'control_events_total',
+            'Events of the control plane',
+            self._control.counts,
+        )
+        return metrics
+
+    def _totals(self):
+        return attrs.asdict(self.counters)
+
+    def _all_gauges(self):
+        return {**self._gauges(), 'revision': self._keeper.fleet.revision}
+
+    def _figures(self):
+        return {**self._totals(), **self._gauges()}
+
+    def _send_to_address(self, data, address):
+        self._socket.send(data, address.as_tuple())
+
+    def _on_datagram(self, datagram, source):
+        if isinstance(datagram, datagrams.RevisionNotice):
+            self._control.spreader.on_notice(datagram)
