--- /dev/null
+++ b/packages/control/src/kingcupport/control/control_plane.py
@@ -0,0 +1,146 @@
+"""Puts the parts of the control plane together for a program."""
+
+import collections
+
+from kingcupport.control import configuration_poller
+from kingcupport.control import configuration_reader as reader_module
+from kingcupport.control import control_handlers
+from kingcupport.control import difference_puller
+from kingcupport.control import fleet_keeper
+from kingcupport.control import peer_pool
+from kingcupport.control import peer_server
+from kingcupport.control import revision_spreader
+
+
+class ControlPlane:
+    """The control plane of one process; see ``make_control_plane``.
+
+    Attributes:
+        keeper: FleetKeeper.
+        pool: PeerPool, for calls by name and by address.
+        server: PeerServer.
+        poller: ConfigurationPoller.
+        spreader: RevisionSpreader; the program passes received
+            RevisionNotice datagrams to its ``on_notice``.
+        counts: collections.Counter of events by name.
+    """
+
+    def __init__(self, keeper, pool, server, poller, spreader, counts):
+        self.keeper = keeper
+        self.pool = pool
+        self.server = server
+        self.poller = poller
+        self.spreader = spreader
+        self.counts = counts
+
+    @property
+    def ready(self):
+        """Whether the service and peers have been asked since the start."""
+        return self.spreader.ready
+
+    def start(self):
+        """Listen for peers and start to learn and spread revisions.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self.server.start()
+        self.spreader.start()
+
+    def stop(self):
+        """Stop the tasks and close every connection."""
+        self.spreader.stop()
+        self.server.stop()
+        self.pool.close()
+
+
+def make_control_plane(
+    *,
+    name,
+    address,
+    clock,
+    rng,
+    audit,
+    send_datagram,
+    reader=None,
+    seeds=(),
+    handlers=None,
+    state=None,
+    figures=dict,
+    rate_budget_per_s=configuration_poller.RATE_BUDGET_PER_S,
+    keeper=None,
+):
+    """Return the ControlPlane of one process.
+
+    Args:
+        name: Name of the process in the fleet.
+        address: Address of its UDP socket; peers connect to the same port.
+        clock: Clock.
+        rng: random.Random.
+        audit: AuditTrail.
+        send_datagram: ``send_datagram(data, address)`` on the UDP socket.
+        reader: ConfigurationReader, or the service's Address, or None.
+        seeds: Addresses of processes that are asked at start.
+        handlers: The program's ``handler(message, peer) -> reply`` by
+            message class.
+        state: Returns ``starting``, ``ready`` or ``draining``; by default
+            derived from ``ready``.
+        figures: Returns integer gauges by name for the status.
+        rate_budget_per_s: Configuration reads a second of the whole fleet.
+        keeper: FleetKeeper, if the program has made one already.
+    """
+    counts = collections.Counter()
+    keeper = keeper or fleet_keeper.FleetKeeper(audit)
+    pool = peer_pool.PeerPool(keeper, clock, counts)
+    puller = difference_puller.DifferencePuller(
+        keeper, pool, clock, rng, name, address, counts
+    )
+    poller = configuration_poller.ConfigurationPoller(
+        keeper, _make_reader(reader), rng, counts, rate_budget_per_s
+    )
+    spreader = revision_spreader.RevisionSpreader(
+        keeper,
+        puller,
+        poller,
+        pool,
+        clock,
+        rng,
+        name=name,
+        own_address=address,
+        send_datagram=send_datagram,
+        counts=counts,
+        seeds=seeds,
+    )
+    own_handlers = control_handlers.ControlHandlers(
+        name,
+        keeper,
+        audit,
+        counts,
+        state or (lambda: 'ready' if spreader.ready else 'starting'),
+        figures,
+    )
+    server = peer_server.PeerServer(
+        address,
+        {**own_handlers.by_message_class(), **(handlers or {})},
+        name=name,
+        keeper=keeper,
+        counts=counts,
+    )
+    pool.on_revision(spreader.on_revision_seen)
+    server.on_revision(_resolve_senders(keeper, spreader))
+    return ControlPlane(keeper, pool, server, poller, spreader, counts)
+
+
+def _make_reader(reader):
+    if reader is None or isinstance(reader, reader_module.ConfigurationReader):
+        return reader
+    return reader_module.make_http_configuration_reader(reader)
+
+
+def _resolve_senders(keeper, spreader):
+    def on_revision(revision, sender):
+        address = keeper.process_address(sender)
+        if address is not None:
+            spreader.on_revision_seen(revision, address)
+
+    return on_revision
