Ask again for the keys of a host that was added again

Ruled out: keeping every revision; the host's own added_revision tells. Change: a changed entry of the host itself ends the continuity of its keys.

--- a/packages/requests/src/kingcupport/requests/claim_placement.py
+++ b/packages/requests/src/kingcupport/requests/claim_placement.py
@@ -42,6 +42,10 @@
     members: tuple
     fences: tuple
 
+    def member(self, name):
+        """Return ``(name, added_revision)`` of a member, or None."""
+        return next((m for m in self.members if m[0] == name), None)
+
     @property
     def names(self):
         """Names of all members."""
--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -261,11 +261,14 @@
         earlier = set(self.view.active)
         if self._complete_from_ms is None:
             earlier |= self._previous | self._required
+        name = self._context.name
+        if view.member(name) != self.view.member(name):
+            # Withdrawn and added again, maybe in two notes seen as one.
+            self._owned_views = None
         self.view = view
         self.epoch += 1
         self._previous = earlier
-        self._required = earlier | set(self.view.active)
-        self._required -= {self._context.name}
+        self._required = (earlier | set(self.view.active)) - {name}
         self._confirmed = set()
         self._complete_from_ms = None
         if self._owned_views is not None:
@@ -289,8 +292,7 @@
     def _ask(self, peer):
         context = self._context
         asked_view = self.view
-        token = self._comparison.token
-        after_key = ''
+        token, after_key = self._comparison.token, ''
         while True:
             request = claim_messages.ClaimListRequest(
                 sender=context.name,
--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -280,6 +280,25 @@
     assert len(simulation.runs[key]) == 1
 
 
+def test_host_that_was_withdrawn_and_added_again_while_paused(simulation):
+    """The state machine found that it took its keys for its own all along."""
+    key = key_of('b', 'a')
+    simulation.agents['b'].pause()
+    simulation.publish(withdrawn=['b'])
+    accept(simulation, 'acd')
+    simulation.advance(700)
+    first = simulation.agents['d'].submit(key)
+    simulation.advance(100)
+    assert first.get(block=False).status == 200
+    simulation.publish(added=['b'])
+    accept(simulation, NAMES)
+    simulation.agents['b'].wake()
+    restart(simulation, 'a')
+    restart(simulation, 'd')
+    simulation.advance(1000)
+    assert ask(simulation, 'c', key) == 504
+
+
 def test_pause_blocks_until_the_view_was_compared(simulation):
     """A late wake may follow a note or a fence that this process missed."""
     agent = simulation.agents['b']
