Wait after one loss when no host remembers an earlier view

Nobody knew of a withdrawn host that still kept the records, one loss was counted, and keys ran twice. Ruled out: asking withdrawn hosts of older fleets; a new process has not seen them. Change: a list reply says whether its sender was complete in some view; without one such host the largest loss counts, not the second largest.

--- a/packages/requests/src/kingcupport/requests/claim_rebuild.py
+++ b/packages/requests/src/kingcupport/requests/claim_rebuild.py
@@ -56,6 +56,7 @@
         self._losses = claim_losses.ClaimLosses(context.clock)
         self._previous = set()
         self._confirmed = set()
+        self._established = False
         self._owned_views = None
         self._complete_from_ms = None
         self._next_instance_check_ms = 0
@@ -147,10 +148,7 @@
         else:
             return
         tasks = [gevent.spawn(self._ask, peer) for peer in sorted(missing)]
-        try:
-            gevent.joinall(tasks)
-        finally:
-            gevent.killall(tasks, block=False)
+        gevent.joinall(tasks)
         self._evaluate()
 
     def learn_fences(self, generations):
@@ -188,6 +186,7 @@
             claims=[claim_record.record_to_plain(r, now_ms) for r in records],
             more=more,
             complete=self._complete_from_ms is not None,
+            established=self.participating,
             loss_ms=claim_record.remaining_ms(self._own_loss_ms(), now_ms),
             blind_ms=claim_record.remaining_ms(
                 self._complete_from_ms or 0, now_ms
@@ -227,8 +226,8 @@
         """
         fences = message.fences
         self.learn_fences(fences)
-        same = set(map(tuple, message.members)) == set(self.view.members)
-        if message.in_order and same:
+        members = set(map(tuple, message.members))
+        if message.in_order and members == set(self.view.members):
             self._fences.note_left(message.sender, fences, message.delivered)
         self._evaluate()
 
@@ -250,8 +249,9 @@
             self._fences.advance(self._context.name)
 
     def _on_accept(self, previous_fleet, fleet):
-        members = claim_placement.members_of(fleet, self._context.service)
-        self._change_view(members)
+        self._change_view(
+            claim_placement.members_of(fleet, self._context.service)
+        )
 
     def _change_view(self, members):
         view = claim_placement.make_claim_view(members, self.fences())
@@ -270,6 +270,7 @@
         self._previous = earlier
         self._required = (earlier | set(self.view.active)) - {name}
         self._confirmed = set()
+        self._established = self.participating
         self._complete_from_ms = None
         if self._owned_views is not None:
             self._owned_views.append(self.view.active)
@@ -286,7 +287,7 @@
             return
         gone = self._fences.newly_gone(states, self.view.active)
         if gone:
-            LOG.warning('claim_fence', extra={'hosts': ','.join(sorted(gone))})
+            LOG.warning('claim_fence', extra={'hosts': ' '.join(sorted(gone))})
             self.learn_fences(gone)
 
     def _ask(self, peer):
@@ -306,7 +307,9 @@
             try:
                 reply = context.caller.call(peer, request, deadline_ms)
                 for plain in reply.claims:
-                    self._merge(plain)
+                    now_ms = context.now_ms()
+                    record = claim_record.record_from_plain(plain, now_ms)
+                    self._index.merge(record)
             except peer_caller.PeerError:
                 return
             except (claim_index.ClaimIndexFullError, ValueError) as error:
@@ -320,10 +323,6 @@
                 return
             after_key = reply.claims[-1][0]
 
-    def _merge(self, plain):
-        now_ms = self._context.now_ms()
-        self._index.merge(claim_record.record_from_plain(plain, now_ms))
-
     def _take_answer(self, peer, reply, token):
         if reply.known_incarnation != self._context.incarnation:
             self._note_restart()
@@ -336,11 +335,13 @@
             return
         self._incarnations.note(peer, reply.incarnation)
         self._confirmed.add(peer)
+        self._established |= reply.established
         for name in reply.departed:
             self._fences.note_left(name, reply.fences, True)
         self._losses.note_answer(peer, reply.loss_ms, reply.blind_ms)
-        known = self._confirmed | {self._context.name}
-        self._losses.note_others(reply.losses, known)
+        self._losses.note_others(
+            reply.losses, self._confirmed | {self._context.name}
+        )
         self._required |= set(map(str, reply.unconfirmed))
         self._required -= {self._context.name}
         self._comparison.note(peer, token)
@@ -373,22 +374,20 @@
         no_second = len(self.view.names) > 1 and len(self.view.active) < 2
         if no_second or not self._all_answered():
             return
+        # Claims of a host that was alone had no second copy. Hosts that are
+        # all new or restarted do not know whom else they would have to ask.
+        was_alone = len(self._previous or self.view.active) == 1
+        single_copies = was_alone or not self._established
         self.participating = True
-        # Claims of a host that was alone had no second copy.
-        single_copies = len(self._previous or self.view.active) == 1
         self._complete_from_ms = self._losses.blind_until_ms(single_copies)
 
     def _all_answered(self):
-        states = self._context.instance_list.states()
-        gone = {n for n, s in states.items() if s == claim_instance_list.GONE}
+        states = self._context.instance_list.states().items()
+        gone = {n for n, s in states if s == claim_instance_list.GONE}
         absent = set(self.view.names) - set(self.view.active)
         withdrawn = self._required - set(self.view.names)
         missing = self._required - self._confirmed - self._fences.left
-        lost = {
-            name
-            for name in missing
-            if name in absent or (name in withdrawn and name in gone)
-        }
+        lost = missing & (absent | (withdrawn & gone))
         one_withdrawn = len(missing) == 1 and missing <= withdrawn
         if one_withdrawn and len(self._previous) > 1:
             lost = missing
--- a/packages/wire/src/kingcupport/wire/claim_messages.py
+++ b/packages/wire/src/kingcupport/wire/claim_messages.py
@@ -175,6 +175,7 @@
         claims: Claims in key order.
         more: Whether another page follows.
         complete: Whether its own index is complete in its view.
+        established: Whether its index was complete in some view.
         loss_ms: Time until all claims that it lost by a restart expire.
         blind_ms: Time until all claims that it may have missed expire.
         losses: The same by name for hosts that are gone.
@@ -192,6 +193,7 @@
     claims: list
     more: bool
     complete: bool
+    established: bool
     loss_ms: int
     blind_ms: int
     losses: dict
--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -439,6 +439,25 @@
     assert ask(simulation, 'c', key) == 504
 
 
+def test_restart_of_the_only_host_that_is_not_new(simulation):
+    """The state machine found new hosts that do not know whom to ask."""
+    names = ('d', 'e', 'f')
+    key = key_of('d', names=names)
+    assert ask(simulation, 'd', key) == 200
+    simulation.publish(withdrawn=['a', 'b', 'c'])
+    simulation.publish(added=['e', 'f'])
+    for name in NAMES:
+        simulation.kill(name)
+    for name in 'ef':
+        simulation.start(name, simulation.fleets[0])
+    simulation.start('d')
+    accept(simulation, names)
+    simulation.advance(1000)
+    assert ask(simulation, 'e', key) == 504
+    simulation.advance(RETENTION_MS)
+    assert ask(simulation, 'e', key) == 200
+
+
 def test_two_restarts_are_over_after_the_retention_time(simulation):
     """The state machine found two agents that waited for each other."""
     cut_off(simulation, 'a', 'bcd')
