--- a/tests/requests/test_claim_hazards.py
+++ b/tests/requests/test_claim_hazards.py
@@ -280,6 +280,25 @@
     assert len(simulation.runs[key]) == 1
 
 
+def test_host_that_was_withdrawn_and_added_again_while_paused(simulation):
+    """The state machine found that it took its keys for its own all along."""
+    key = key_of('b', 'a')
+    simulation.agents['b'].pause()
+    simulation.publish(withdrawn=['b'])
+    accept(simulation, 'acd')
+    simulation.advance(700)
+    first = simulation.agents['d'].submit(key)
+    simulation.advance(100)
+    assert first.get(block=False).status == 200
+    simulation.publish(added=['b'])
+    accept(simulation, NAMES)
+    simulation.agents['b'].wake()
+    restart(simulation, 'a')
+    restart(simulation, 'd')
+    simulation.advance(1000)
+    assert ask(simulation, 'c', key) == 504
+
+
 def test_pause_blocks_until_the_view_was_compared(simulation):
     """A late wake may follow a note or a fence that this process missed."""
     agent = simulation.agents['b']
@@ -420,6 +439,25 @@
     assert ask(simulation, 'c', key) == 504
 
 
+def test_restart_of_the_only_host_that_is_not_new(simulation):
+    """The state machine found new hosts that do not know whom to ask."""
+    names = ('d', 'e', 'f')
+    key = key_of('d', names=names)
+    assert ask(simulation, 'd', key) == 200
+    simulation.publish(withdrawn=['a', 'b', 'c'])
+    simulation.publish(added=['e', 'f'])
+    for name in NAMES:
+        simulation.kill(name)
+    for name in 'ef':
+        simulation.start(name, simulation.fleets[0])
+    simulation.start('d')
+    accept(simulation, names)
+    simulation.advance(1000)
+    assert ask(simulation, 'e', key) == 504
+    simulation.advance(RETENTION_MS)
+    assert ask(simulation, 'e', key) == 200
+
+
 def test_two_restarts_are_over_after_the_retention_time(simulation):
     """The state machine found two agents that waited for each other."""
     cut_off(simulation, 'a', 'bcd')
