Test connections, HTTP parsing and the parts of a handoff

Ruled out: answering 100 as soon as the head is read, because the bytes would overtake the answers of requests before it.

Change: tests of one module each, a fuzz test of Connection.deliver, and the 100 answer, which is sent once no answer is due before it.

--- a/packages/connections/src/kingcupport/connections/connection.py
+++ b/packages/connections/src/kingcupport/connections/connection.py
@@ -321,6 +321,8 @@
         while self._pending and self._pending[0].result.ready():
             self._write_answer(self._pending.popleft())
             self._accept_requests()
+        if not self._pending:
+            self._output.write(self._parser.take_continue())
         if self._pending or not self._closing:
             return
         if self._last_output:
--- a/packages/connections/src/kingcupport/connections/http_requests.py
+++ b/packages/connections/src/kingcupport/connections/http_requests.py
@@ -101,6 +101,19 @@
             self._http = None
         return request
 
+    def take_continue(self):
+        """Return the 100 answer that the client waits for, or no bytes.
+
+        A client that sent ``Expect: 100-continue`` holds its body back for
+        a second or more.
+        """
+        http = self._http
+        if http is None or not http.they_are_waiting_for_100_continue:
+            return b''
+        return http.send(
+            h11.InformationalResponse(status_code=100, headers=[])
+        )
+
     def discard(self):
         """Drop all bytes kept."""
         self._http = None
--- /dev/null
+++ b/tests/connections/test_connection.py
@@ -0,0 +1,309 @@
+"""Guards one connection against bad input, lost answers and leaks."""
+
+import random
+
+import gevent
+from gevent import event
+import hypothesis
+from hypothesis import strategies
+import manual_clock
+import pytest
+
+from kingcupport.connections import connection as connection_module
+from kingcupport.connections import connection_identity
+from kingcupport.connections import connection_limits
+from kingcupport.connections import input_stream
+from kingcupport.requests import answer as answer_module
+from kingcupport.requests import request_runner
+from kingcupport.wire import packet as packet_module
+
+_KIND = packet_module.PacketKind
+_GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+class _Runner(request_runner.RequestRunner):
+    def __init__(self):
+        self.waiting = {}
+        self.seen = []
+
+    def submit(self, request):
+        self.seen.append(request)
+        done = self.waiting.setdefault(request.target, event.Event())
+        done.wait()
+        return answer_module.Answer(200, (), request.target.encode())
+
+    def finish(self, *targets):
+        for target in targets:
+            self.waiting[target].set()
+            _settle()
+
+
+def _settle():
+    for _ in range(6):
+        gevent.sleep(0)
+
+
+class _Bed:
+    def __init__(self, **limits):
+        self.clock = manual_clock.ManualClock()
+        self.runner = _Runner()
+        self.packets = []
+        self.ended = []
+        self.limits = connection_limits.ConnectionLimits(**limits)
+        self.connection = self.make(None)
+        self.connection.start()
+        self.sent = 0
+
+    def make(self, state):
+        return connection_module.Connection(
+            connection_identity.ConnectionIdentity(
+                1, 2, '10.0.0.9:1', '10.0.0.1:80', '10.0.0.2:7000'
+            ),
+            self.packets.append,
+            self.runner,
+            self.clock,
+            self.limits,
+            connection_module.request_counter('test'),
+            self.ended.append,
+            state,
+        )
+
+    def deliver(self, kind, offset=0, payload=b'', ack=0):
+        self.connection.deliver(
+            packet_module.Packet(
+                int(kind), 1, 2, offset, ack, payload, '', '', ''
+            )
+        )
+        _settle()
+
+    def data(self, payload):
+        self.deliver(_KIND.DATA, self.sent, payload)
+        self.sent += len(payload)
+
+    def advance(self, duration_ms):
+        self.clock.advance(duration_ms)
+        self.connection._wake.set()
+        _settle()
+
+    def kinds(self):
+        return [_KIND(p.kind) for p in self.packets]
+
+    def output(self):
+        received = input_stream.InputStream()
+        return b''.join(
+            received.on_segment(p.offset, p.payload)
+            for p in self.packets
+            if p.kind == _KIND.DATA
+        )
+
+
+@pytest.fixture
+def bed():
+    made = _Bed()
+    yield made
+    made.connection.leave()
+    _settle()
+
+
+def test_answers_keep_the_order_of_pipelined_requests(bed):
+    """Guards against an answer that overtakes a slow one before it."""
+    bed.data(_GET % 1 + _GET % 2)
+    bed.runner.finish('/2')
+    assert bed.output() == b''
+    bed.runner.finish('/1')
+    assert bed.output().index(b'/1') < bed.output().index(b'/2')
+
+
+def test_whole_requests_before_malformed_bytes_are_answered(bed):
+    """Guards against requests lost with the bad bytes behind them."""
+    bed.data(_GET % 1 + b'no request\r\n\r\n')
+    bed.runner.finish('/1')
+    assert bed.output().count(b'HTTP/1.1 200') == 1
+    assert bed.output().count(b'HTTP/1.1 400') == 1
+    assert bed.kinds()[-1] == _KIND.CLOSE
+
+
+@pytest.mark.parametrize(
+    ('data', 'status'),
+    [
+        (b'\x00\x01\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nX: ' + b'x' * 20_000, b'431'),
+        (
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n',
+            b'413',
+        ),
+    ],
+)
+def test_bad_requests_are_refused_and_the_connection_ends(bed, data, status):
+    """Guards against bad bytes that end a task or fill the memory."""
+    filler = b'x' * 10_000
+    for start in range(0, len(data), 10_000):
+        bed.data(data[start : start + 10_000])
+    for _ in range(120):
+        if bed.output():
+            break
+        bed.data(filler)
+    assert bed.output().startswith(b'HTTP/1.1 ' + status)
+    assert bed.kinds()[-1] in (_KIND.CLOSE, _KIND.ACK)
+    assert _KIND.CLOSE in bed.kinds()
+
+
+def test_pipeline_limit_holds_within_one_segment(bed):
+    """Guards against a segment that starts hundreds of requests."""
+    bed.data(b''.join(_GET % i for i in range(40)))
+    limit = bed.limits.max_pipelined_count
+    assert len(bed.runner.seen) == limit
+    for i in range(40):
+        bed.runner.finish(f'/{i}')
+    assert len(bed.runner.seen) == 40
+    assert bed.output().count(b'HTTP/1.1 200') == 40
+
+
+def test_close_with_requests_pending_waits_for_the_answers(bed):
+    """Guards against answers lost when a caller ends its stream early."""
+    bed.data(b''.join(_GET % i for i in range(20)))
+    bed.deliver(_KIND.CLOSE, bed.sent)
+    assert _KIND.CLOSE not in bed.kinds()
+    for i in range(20):
+        bed.runner.finish(f'/{i}')
+    assert bed.output().count(b'HTTP/1.1 200') == 20
+    assert bed.kinds()[-1] == _KIND.CLOSE
+    bed.deliver(_KIND.ACK, ack=len(bed.output()) + 1)
+    assert bed.ended
+
+
+def test_close_within_a_request_ends_the_output_once(bed):
+    """Guards against a refusal behind the end of the output."""
+    bed.data(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab')
+    bed.deliver(_KIND.CLOSE, bed.sent)
+    bed.advance(29_000)
+    bed.advance(2_000)
+    assert bed.output() == b''
+
+
+def test_reset_cancels_idempotent_requests_and_ends(bed):
+    """Guards against work for callers that are gone."""
+    bed.data(_GET % 1)
+    task = bed.connection._pending[0].task
+    bed.deliver(_KIND.RESET)
+    assert bed.ended
+    assert task.dead
+
+
+def test_slow_request_is_refused(bed):
+    """Guards against senders that hold a connection with a few bytes."""
+    bed.data(b'GET / HT')
+    bed.advance(bed.limits.request_timeout_ms - 1)
+    assert bed.output() == b''
+    bed.advance(1)
+    assert bed.output().startswith(b'HTTP/1.1 408')
+    assert _KIND.CLOSE in bed.kinds()
+
+
+def test_half_open_connection_repeats_opened_and_ends_silently(bed):
+    """Guards against lost confirmations and against half-open leaks."""
+    for _ in range(14):
+        bed.advance(1_000)
+    assert bed.kinds() == [_KIND.OPENED] * 15
+    bed.advance(1_000)
+    assert bed.ended
+    assert _KIND.RESET not in bed.kinds()
+
+
+def test_confirmed_connection_outlives_the_half_open_timeout(bed):
+    """Guards against idle connections that are broken."""
+    bed.deliver(_KIND.ACK)
+    bed.advance(bed.limits.half_open_timeout_ms)
+    assert not bed.ended
+    bed.advance(bed.limits.idle_timeout_ms)
+    assert bed.kinds()[-1] == _KIND.RESET
+
+
+def test_client_that_expects_100_continue_gets_it_in_order(bed):
+    """Guards against curl's wait of a second before each larger body."""
+    head = b'POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n'
+    bed.data(_GET % 1 + head + b'Expect: 100-continue\r\n\r\n')
+    assert bed.output() == b''
+    bed.runner.finish('/1')
+    assert bed.output().endswith(b'HTTP/1.1 100 \r\n\r\n')
+    bed.data(b'ab')
+    bed.runner.finish('/2')
+    assert bed.output().count(b'HTTP/1.1 100') == 1
+    assert bed.output().endswith(b'/2')
+
+
+@pytest.mark.parametrize('is_first_answered', [True, False])
+def test_refusal_is_sent_once_after_a_handoff(bed, is_first_answered):
+    """Guards against a refusal that a handoff loses or doubles."""
+    bed.data(_GET % 1 + b'no request\r\n\r\n')
+    if is_first_answered:
+        bed.runner.finish('/1')
+    state = bed.connection.freeze()
+    bed.packets.clear()
+    second = bed.make(state)
+    second.start(bed.runner)
+    _settle()
+    bed.runner.finish('/1')
+    second.leave()
+    assert bed.output().count(b'HTTP/1.1 400') == 1
+
+
+def test_unread_requests_run_once_after_a_handoff(bed):
+    """Guards against requests behind a full pipeline run twice or lost."""
+    bed.data(b''.join(_GET % i for i in range(20)))
+    state = bed.connection.freeze()
+    assert state.unparsed.count(b'GET') == 4
+    bed.packets.clear()
+    second = bed.make(state)
+    second.start(bed.runner)
+    _settle()
+    for i in range(20):
+        bed.runner.finish(f'/{i}')
+    second.leave()
+    assert bed.output().count(b'HTTP/1.1 200') == 20
+    assert sum(r.target == '/17' for r in bed.runner.seen) == 1
+
+
+_numbers = strategies.one_of(
+    strategies.integers(0, 3000),
+    strategies.integers(0, 300_000),
+    strategies.integers(0, (1 << 64) - 1),
+)
+_packets = strategies.tuples(
+    strategies.sampled_from(list(_KIND)),
+    _numbers,
+    strategies.one_of(
+        strategies.binary(max_size=200),
+        strategies.sampled_from((_GET % 1, (_GET % 1)[5:], b'x' * 16_384)),
+    ),
+    _numbers,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(strategies.lists(_packets, max_size=40))
+def test_any_packets_leave_memory_bounded_and_the_task_alive(packets):
+    """Guards against packets that raise or fill the memory."""
+    bed = _Bed()
+    for kind, offset, payload, ack in packets:
+        bed.deliver(kind, offset, payload, ack)
+    assert bed.connection._task.exception is None
+    assert bed.connection._task.dead == bool(bed.ended)
+    connection = bed.connection
+    window = input_stream.RECEIVE_WINDOW_BYTES
+    assert len(connection._input._segments) <= input_stream.MAX_KEPT_SEGMENTS
+    assert connection._input._kept_bytes <= window
+    assert len(connection._pending) <= bed.limits.max_pipelined_count
+    connection.leave()
+    _settle()
+
+
+def test_overlapping_segments_do_not_fill_the_memory():
+    """Guards against the memory that segments in a window can take."""
+    stream = input_stream.InputStream()
+    rng = random.Random(1)
+    for _ in range(5_000):
+        stream.on_segment(rng.randrange(1, 240_000), b'x' * 16_384)
+    kept = sum(map(len, stream._segments.values()))
+    assert kept == stream._kept_bytes <= input_stream.RECEIVE_WINDOW_BYTES
