Place bursts of connections by counts of one moment

Cause: an agent compared its own connection count of this moment with the peers' counts of up to a second ago. In a burst every agent therefore saw itself above the mean and passed OPEN packets on to agents that did the same (bench/placement.py).

Change: PeerLoads extrapolates each peer's count from the growth between its last reports, relative to what was offered to this agent meanwhile. OpenPlacement tells it how many connections it passed on. mean_connections takes that number as an argument, so that agent.py stays as it is. A rebalancing round paces itself by the injected clock, and yields while it scans connections that cannot move.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,45 @@
+"""Share of OPEN packets passed on, and imbalance, in bursts of connections.
+
+The shipped placement, loads and tables over simulated time, with reports
+exchanged as often as agents do. Run from the root of the repository::
+
+    PYTHONPATH=tests python bench/placement.py
+"""
+
+import statistics
+
+import placement_simulation
+
+# Agents, connections, duration of the burst.
+BURSTS = (
+    (3, 60, 300),
+    (3, 60, 2_000),
+    (7, 14_000, 1_000),
+    (7, 14_000, 3_000),
+    (7, 14_000, 10_000),
+)
+SEEDS = 20
+
+
+def main():
+    """Print one line a burst."""
+    for agents, count, duration_ms in BURSTS:
+        results = [
+            placement_simulation.PlacementSimulation(agents, seed).open_burst(
+                count, duration_ms
+            )
+            for seed in range(SEEDS)
+        ]
+        passed_on = [r.passed_on_percent for r in results]
+        imbalance = [r.imbalance for r in results]
+        print(
+            f'agents={agents} connections={count} within_ms={duration_ms} '
+            f'passed_on_percent={statistics.mean(passed_on):.1f} '
+            f'(max {max(passed_on):.1f}) '
+            f'imbalance={statistics.mean(imbalance):.3f} '
+            f'(max {max(imbalance):.3f})'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/agent/src/kingcupport/agent/connection_mover.py
+++ b/packages/agent/src/kingcupport/agent/connection_mover.py
@@ -17,6 +17,8 @@
 REBALANCE_INTERVAL_MS = 2_000
 REBALANCE_PERCENT = 1
 MIN_EXCESS_CONNECTIONS = 1
+# Ranking the candidates of a connection takes some 10 us.
+SCANNED_AT_ONCE = 100
 
 _Outcome = handoff_sender.HandoffOutcome
 
@@ -151,7 +153,9 @@
         counts = self._loads.connections_by_peer()
         below = {name: n for name, n in counts.items() if n < mean}
         moved = 0
-        for connection in self._table.connections():
+        for number, connection in enumerate(self._table.connections()):
+            if number % SCANNED_AT_ONCE == 0:
+                gevent.sleep(0)
             if moved >= excess / 2 or draining():
                 break
             receiver = self._least_loaded(connection, below)
@@ -162,7 +166,7 @@
                 below[receiver] += 1
                 if below[receiver] >= mean:
                     del below[receiver]
-            gevent.sleep(1 / per_s)
+            self._clock.sleep_until(self._clock.monotonic_ms() + 1000 / per_s)
         if moved:
             self._audit.record('connections_rebalanced', count=moved)
         return moved
--- a/packages/agent/src/kingcupport/agent/placement.py
+++ b/packages/agent/src/kingcupport/agent/placement.py
@@ -23,8 +23,9 @@
         own_name: Name of this agent.
         bound_percent: How far the own count may exceed the mean.
         connection_count: Returns the number of connections owned.
-        mean_connections: Returns the mean over the service's agents that
-            this agent knows, or None.
+        mean_connections: Called with the number of new connections that
+            were passed on so far; returns the mean over the service's agents
+            that this agent knows, or None.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         self._bound_percent = bound_percent
         self._connection_count = connection_count
         self._mean_connections = mean_connections
+        self._passed_on = 0
 
     def decide(self, candidates, tried):
         """Decide about one OPEN.
@@ -53,12 +55,15 @@
         ]
         if not untried:
             return Placement.ACCEPT, None
-        if self._own_name not in first or self._over_bound():
+        if self._own_name not in first:
+            return Placement.PASS_ON, untried[0]
+        if self._over_bound():
+            self._passed_on += 1
             return Placement.PASS_ON, untried[0]
         return Placement.ACCEPT, None
 
     def _over_bound(self):
-        mean = self._mean_connections()
+        mean = self._mean_connections(self._passed_on)
         if mean is None:
             return False
         limit = mean * (100 + self._bound_percent) / 100
--- a/packages/requests/src/kingcupport/requests/peer_loads.py
+++ b/packages/requests/src/kingcupport/requests/peer_loads.py
@@ -3,6 +3,9 @@
 import attrs
 
 STALENESS_TIMEOUT_MS = 5000
+# Fewer new connections between two reports say little about the next ones.
+MIN_OFFERED_FOR_RATIO = 20
+MAX_GAIN_RATIO = 2
 
 
 @attrs.frozen
@@ -10,6 +13,8 @@
     connections: int
     queued: int
     running: int
+    own_offered: int
+    gain_ratio: float
     stale_at_ms: float
 
 
@@ -29,16 +34,30 @@
         self._count_connections = count_connections
         self._timeout_ms = timeout_ms
         self._records = {}
+        self._passed_on = 0
 
     def note(self, report):
         """Keep a LoadReport in place of the sender's previous one."""
+        offered = self._count_connections() + self._passed_on
         self._records[report.sender] = _Record(
             report.connections,
             report.queued,
             report.running,
+            offered,
+            self._gain_ratio(report, offered),
             self._clock.monotonic_ms() + self._timeout_ms,
         )
 
+    def _gain_ratio(self, report, offered):
+        last = self._records.get(report.sender)
+        if last is None or offered - last.own_offered < MIN_OFFERED_FOR_RATIO:
+            return 1 if last is None else last.gain_ratio
+        gained = report.connections - last.connections
+        ratio = gained / (offered - last.own_offered)
+        ratio = min(max(0, ratio), MAX_GAIN_RATIO)
+        # The mean with the last ratio damps the noise of short intervals.
+        return (ratio + last.gain_ratio) / 2
+
     def keep_only(self, names):
         """Forget the peers that are not among ``names``."""
         self._records = {
@@ -51,10 +70,24 @@
         """Return the own connection count."""
         return self._count_connections()
 
-    def mean_connections(self):
-        """Return the mean count over this agent and its fresh peers."""
-        counts = [record.connections for record in self._fresh()]
-        counts.append(self._count_connections())
+    def mean_connections(self, passed_on=None):
+        """Return the mean count over this agent and its fresh peers.
+
+        Args:
+            passed_on: New connections that this agent has passed on since
+                its start. If given, each peer's count is extrapolated from
+                its last reports and from what was offered to this agent
+                since: in a burst, the own count runs ahead of the reports.
+        """
+        own = self._count_connections()
+        gained = 0
+        counts = [own]
+        for record in self._fresh():
+            if passed_on is not None:
+                gained = max(0, own + passed_on - record.own_offered)
+            counts.append(record.connections + gained * record.gain_ratio)
+        if passed_on is not None:
+            self._passed_on = passed_on
         return sum(counts) / len(counts)
 
     def connections_by_peer(self):
--- /dev/null
+++ b/tests/agent/test_connection_mover.py
@@ -0,0 +1,214 @@
+"""Guards drains and rebalancing with reports that lag."""
+
+import random
+import types
+
+import gevent
+import handoff_simulation
+import pytest
+
+from kingcupport.agent import connection_mover
+from kingcupport.agent import data_path_counters
+from kingcupport.connections import connection_table
+from kingcupport.connections import handoff_sender
+from kingcupport.observability import audit_trail
+from kingcupport.requests import peer_loads
+from kingcupport.requests import work_sharing
+from kingcupport.routing import bucket_table
+from kingcupport.wire import work_messages
+
+_Outcome = handoff_sender.HandoffOutcome
+_PER_AGENT = 2_000
+_PER_S = 100
+_HANDOFF_MS = 2
+
+
+class _FakeConnection:
+    def __init__(self, connection_id, idle=True):
+        self.identity = types.SimpleNamespace(connection_id=connection_id)
+        self.frozen = False
+        self.idle = idle
+
+
+class _Host:
+    """The shipped mover, table and loads of one agent."""
+
+    def __init__(self, bed, name):
+        self.bed = bed
+        self.name = name
+        self.is_draining = False
+        self.table = connection_table.ConnectionTable(bed.clock, 20_000)
+        self.loads = peer_loads.PeerLoads(bed.clock, self.table.__len__)
+        self.counters = data_path_counters.DataPathCounters()
+        self.mover = connection_mover.ConnectionMover(
+            self,
+            self.table,
+            self,
+            bed.clock,
+            self.loads,
+            self.counters,
+            audit_trail.AuditTrail(bed.clock),
+        )
+        bed.tasks.append(gevent.spawn(self._report_forever))
+        bed.tasks.append(
+            gevent.spawn(
+                self.mover.rebalance_forever,
+                _PER_S,
+                lambda: self.is_draining,
+            )
+        )
+
+    def receivers(self, connection_id):
+        """Stand in for DataPath."""
+        names = self.bed.buckets.candidates(connection_id, 8)
+        return [name for name in names if name != self.name]
+
+    def hand_over(self, connection, receiver):
+        """Stand in for HandoffSender."""
+        clock = self.bed.clock
+        connection.frozen = True
+        clock.sleep_until(clock.monotonic_ms() + _HANDOFF_MS)
+        connection.frozen = False
+        target = self.bed.hosts[receiver]
+        if target.is_draining or receiver in self.bed.refusing:
+            return _Outcome.ABORTED
+        self.table.remove(connection)
+        target.table.add(connection)
+        return _Outcome.ADOPTED
+
+    def _report_forever(self):
+        clock, waiting = self.bed.clock, []
+        while True:
+            # As WorkSharing does.
+            peers = [n for n in self.bed.hosts if n != self.name]
+            self.loads.keep_only(peers)
+            waiting = [n for n in waiting if n in peers]
+            if not waiting:
+                waiting = peers
+                self.bed.rng.shuffle(waiting)
+            for _ in range(min(work_sharing.REPORTED_PEERS, len(waiting))):
+                peer = self.bed.hosts[waiting.pop()]
+                peer.loads.note(self._make_report())
+                self.loads.note(peer._make_report())
+            clock.sleep_until(
+                clock.monotonic_ms() + work_sharing.REPORT_INTERVAL_MS
+            )
+
+    def _make_report(self):
+        return work_messages.LoadReport(self.name, 1, len(self.table), 0, 0)
+
+
+class _Bed:
+    def __init__(self, names, per_agent=_PER_AGENT, seed=1):
+        self.clock = handoff_simulation.SimulatedClock()
+        self.clock.after_step = self.settle
+        self.rng = random.Random(seed)
+        self.tasks = []
+        self.refusing = set()
+        self.hosts = {}
+        self.set_members(names)
+        for name in names:
+            for _ in range(per_agent):
+                self.hosts[name].table.add(
+                    _FakeConnection(self.rng.getrandbits(64))
+                )
+
+    def set_members(self, names):
+        self.buckets = bucket_table.BucketTable(
+            tuple(bucket_table.Host(name, 100) for name in sorted(names))
+        )
+        for name in names:
+            if name not in self.hosts:
+                self.hosts[name] = _Host(self, name)
+
+    def settle(self):
+        for _ in range(3):
+            gevent.sleep(0)
+
+    def drain(self, name, timeout_ms):
+        """Move all connections of an agent; return how many are left."""
+        host = self.hosts[name]
+        host.is_draining = True
+        deadline_ms = self.clock.monotonic_ms() + timeout_ms
+        task = gevent.spawn(host.mover.move_all, deadline_ms)
+        while not task.ready():
+            self.clock.advance(10)
+            assert self.clock.monotonic_ms() < deadline_ms + 1_000
+        return task.get()
+
+    def imbalance(self):
+        counts = [
+            len(h.table) for h in self.hosts.values() if not h.is_draining
+        ]
+        return max(counts) * len(counts) / sum(counts)
+
+    def moves(self):
+        return sum(h.counters.handed_over for h in self.hosts.values())
+
+
+@pytest.fixture
+def make_bed():
+    beds = []
+
+    def make(*args, **options):
+        beds.append(_Bed(*args, **options))
+        return beds[-1]
+
+    yield make
+    gevent.killall([task for bed in beds for task in bed.tasks])
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_added_and_withdrawn_agents_leave_an_even_load(make_bed, seed):
+    """Guards against imbalance after a change, and against oscillation."""
+    names = [f'agent-{i}' for i in range(7)]
+    bed = make_bed(names, seed=seed)
+    bed.clock.advance(1_000)
+    bed.set_members([*names[1:], 'agent-7'])
+    start_ms = bed.clock.monotonic_ms()
+    assert bed.drain(names[0], 30_000) == 0
+    del bed.hosts[names[0]]
+    for _ in range(40):
+        bed.clock.advance(1_000)
+        if bed.imbalance() <= 1.03:
+            break
+    elapsed_ms = bed.clock.monotonic_ms() - start_ms
+    assert bed.imbalance() <= 1.05
+    assert elapsed_ms <= 40_000
+    print(f'even after {elapsed_ms:.0f} ms, {bed.moves()} moves')
+    bed.clock.advance(20_000)
+    moves = bed.moves()
+    bed.clock.advance(20_000)
+    assert bed.imbalance() <= 1.05
+    # Even loads are left alone.
+    assert bed.moves() - moves <= 20
+    # Each move that the new mean needs, and few more.
+    assert bed.moves() <= 2 * 2 * _PER_AGENT
+
+
+def test_round_moves_half_of_the_excess_of_idle_connections(make_bed):
+    """Guards against overshooting, and against moving busy connections."""
+    bed = make_bed(['a', 'b'], per_agent=0)
+    table = bed.hosts['a'].table
+    for number in range(100):
+        table.add(_FakeConnection(number, idle=number >= 90))
+    bed.clock.advance(connection_mover.REBALANCE_INTERVAL_MS + 1_000)
+    assert len(bed.hosts['b'].table) == 10
+    assert all(c.idle for c in bed.hosts['b'].table.connections())
+
+
+def test_drain_tries_the_next_candidate_and_then_again(make_bed):
+    """Guards against a drain that one refusing agent holds up."""
+    bed = make_bed(['a', 'b', 'c'], per_agent=50)
+    source = bed.hosts['a']
+    bed.refusing = {'b'}
+    assert bed.drain('a', 5_000) == 0
+    assert len(bed.hosts['c'].table) == 100
+    assert source.counters.handed_over == 50
+
+
+def test_drain_ends_at_its_deadline(make_bed):
+    """Guards against a process that never exits."""
+    bed = make_bed(['a', 'b'], per_agent=5)
+    bed.refusing = {'b'}
+    assert bed.drain('a', 1_000) == 5
--- /dev/null
+++ b/tests/placement_simulation.py
@@ -0,0 +1,136 @@
+"""Opens many connections at agents whose load reports lag."""
+
+import itertools
+import random
+
+import attrs
+import manual_clock
+
+from kingcupport.agent import placement
+from kingcupport.connections import connection_table
+from kingcupport.requests import peer_loads
+from kingcupport.requests import work_sharing
+from kingcupport.routing import bucket_table
+from kingcupport.wire import work_messages
+
+
+@attrs.frozen
+class PlacementResult:
+    """What a burst of new connections led to.
+
+    Args:
+        passed_on_percent: OPEN packets passed on, of all connections.
+        imbalance: Most connections of an agent over the mean.
+    """
+
+    passed_on_percent: float
+    imbalance: float
+
+
+class _OpenedConnection:
+    """Takes a place in the shipped ConnectionTable."""
+
+    def __init__(self, connection_id):
+        self.identity = self
+        self.connection_id = connection_id
+
+
+class PlacementSimulation:
+    """The shipped placement, loads and tables of one service's agents.
+
+    Args:
+        agents_count: Number of agents.
+        seed: Seed of connection ids and of the reports' order.
+        bound_percent: The setting ``placement_bound_percent``.
+    """
+
+    def __init__(self, agents_count, seed, bound_percent=2):
+        self.clock = manual_clock.ManualClock()
+        self.rng = random.Random(seed)
+        self.names = [f'agent-{i}' for i in range(agents_count)]
+        self.buckets = bucket_table.BucketTable(
+            tuple(bucket_table.Host(name, 100) for name in self.names)
+        )
+        self.tables = {
+            name: connection_table.ConnectionTable(self.clock, 20_000)
+            for name in self.names
+        }
+        self.loads = {
+            name: peer_loads.PeerLoads(self.clock, table.__len__)
+            for name, table in self.tables.items()
+        }
+        self.placements = {
+            name: placement.OpenPlacement(
+                name,
+                bound_percent,
+                self.tables[name].__len__,
+                self.loads[name].mean_connections,
+            )
+            for name in self.names
+        }
+        self.passed_on = 0
+        self.waiting = {name: [] for name in self.names}
+
+    def counts(self):
+        return [len(table) for table in self.tables.values()]
+
+    def open(self):
+        """Open one connection and return the agent that accepted it."""
+        connection_id = self.rng.getrandbits(64)
+        candidates = self.buckets.candidates(connection_id, 8)
+        name, tried = candidates[0], []
+        while True:
+            decision, next_name = self.placements[name].decide(
+                candidates, tried
+            )
+            if decision == placement.Placement.ACCEPT:
+                self.tables[name].add(_OpenedConnection(connection_id))
+                return name
+            self.passed_on += 1
+            tried.append(name)
+            name = next_name
+
+    def report(self, name):
+        """Exchange reports as WorkSharing does, a few peers at a time."""
+        waiting = self.waiting[name]
+        if not waiting:
+            waiting += [n for n in self.names if n != name]
+            self.rng.shuffle(waiting)
+        for _ in range(min(work_sharing.REPORTED_PEERS, len(waiting))):
+            peer = waiting.pop()
+            self._note(name, peer)
+            self._note(peer, name)
+
+    def _note(self, sender, receiver):
+        self.loads[receiver].note(
+            work_messages.LoadReport(sender, 1, len(self.tables[sender]), 0, 0)
+        )
+
+    def open_burst(self, count, duration_ms):
+        """Open connections evenly over a time; return a PlacementResult."""
+        for name in self.names * 2:
+            self.report(name)
+        start_ms = self.clock.monotonic_ms()
+        offsets = [
+            self.rng.randrange(work_sharing.REPORT_INTERVAL_MS)
+            for _ in self.names
+        ]
+        due = {
+            name: start_ms + offset
+            for name, offset in zip(self.names, offsets, strict=True)
+        }
+        for number in itertools.count(1):
+            now_ms = self.clock.monotonic_ms()
+            for name, due_ms in due.items():
+                if now_ms >= due_ms:
+                    due[name] += work_sharing.REPORT_INTERVAL_MS
+                    self.report(name)
+            self.open()
+            if number == count:
+                break
+            self.clock.advance(duration_ms / count)
+        counts = self.counts()
+        return PlacementResult(
+            100 * self.passed_on / count,
+            max(counts) * len(counts) / sum(counts),
+        )
