--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -118,6 +118,7 @@
         lambda data, destination: sock.send(data, ('127.0.0.1', SINK_PORT)),
         hint_cache.HintCache(),
         suspects.Suspects(clock.make_system_clock(), 2000),
+        frozenset,
         lambda datagram, source: None,
         counters,
     )
--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -18,8 +18,6 @@
 from kingcupport.connections import handoff_sender
 from kingcupport.connections import lent_runs
 from kingcupport.control import daemon
-from kingcupport.control import instance_list
-from kingcupport.control import polled_instance_list
 from kingcupport.fleet import service as service_module
 from kingcupport.requests import backend_port
 from kingcupport.requests import keyed_runner
@@ -86,14 +84,6 @@
             port, self._clock, settings.slots_count, sharing=sharing
         )
         self._control.server.add_handlers(sharing.handlers())
-        self._instances = polled_instance_list.PolledInstanceList(
-            instance_list.make_http_instance_list(
-                settings.configuration_address
-            ),
-            self._clock,
-            self._rng,
-            lambda: len(self._keeper.peer_addresses),
-        )
         self._runner = None
 
     def _read_service_view(self):
@@ -203,7 +193,6 @@
     def start(self):
         """Implement ``Daemon.start``; packets wait for the fleet."""
         self.start_tasks(self._data_path.on_data)
-        self._spawn(self._instances.run)
 
     def _on_ready(self):
         self._runner = keyed_runner.make_keyed_request_runner(
--- a/packages/balancer/src/kingcupport/balancer/balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/balancer.py
@@ -47,6 +47,7 @@
             self._socket.send,
             self._hints,
             suspects_module.Suspects(clock, settings.limits.avoid_ms),
+            lambda: self._instances.gone,
             self._on_datagram,
             self.counters,
         )
--- a/packages/balancer/src/kingcupport/balancer/data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/data_path.py
@@ -20,6 +20,8 @@
         send: Called as ``send(data, (ip, port))``; never blocks.
         hints: HintCache.
         suspects: Suspects, names of agents to avoid for a while.
+        gone: Returns the names of agents that the list of instances says are
+            gone.
         on_datagram: Called as ``on_datagram(datagram, source)`` with
             datagrams other than packets and location hints.
         counters: Counters of the data path.
@@ -33,6 +35,7 @@
         send,
         hints,
         suspects,
+        gone,
         on_datagram,
         counters,
     ):
@@ -41,6 +44,7 @@
         self._send = send
         self._hints = hints
         self._suspects = suspects
+        self._gone = gone
         self._on_datagram = on_datagram
         self.counters = counters
         self._tables = fleet_tables.FleetTables(fleet)
@@ -89,7 +93,11 @@
             self.counters.malformed += 1
             return
         service = self._services.get(fields.service_address)
-        agent_name = self.target(service, fields.connection_id)
+        agent_name = self.target(
+            service,
+            fields.connection_id,
+            is_open=fields.kind == packet_module.PacketKind.OPEN,
+        )
         if agent_name is None:
             self._refuse(fields, data)
             return
@@ -98,12 +106,17 @@
             self._headers[service] + data, self._agent_addresses[agent_name]
         )
 
-    def target(self, service, connection_id):
+    def target(self, service, connection_id, is_open=False):
         """Return the name of the agent for a connection, or None.
 
+        The list of instances lags and may be wrong, so only new connections
+        avoid an agent that it says is gone; an established one is lost in
+        any case if the list is right.
+
         Args:
             service: Name of the service; None gives None.
             connection_id: The connection.
+            is_open: Whether the packet opens the connection.
         """
         agent_name = self._hints.get(connection_id)
         if agent_name is not None and self._serves(agent_name, service):
@@ -112,8 +125,10 @@
         if table is None:
             return None
         agent_name = table.owner(connection_id)
-        if self._suspects and agent_name in self._suspects:
-            return self._next_candidate(table, connection_id, agent_name)
+        gone = self._gone() if is_open else frozenset()
+        is_suspect = self._suspects and agent_name in self._suspects
+        if is_suspect or agent_name in gone:
+            return self._next_candidate(table, connection_id, gone, agent_name)
         return agent_name
 
     def _serves(self, agent_name, service):
@@ -122,9 +137,13 @@
         member = self.fleet.backend_servers.get(agent_name)
         return member is not None and member.service == service
 
-    def _next_candidate(self, table, connection_id, default):
+    def _next_candidate(self, table, connection_id, gone, default):
         candidates = table.candidates(connection_id, MAX_CANDIDATES)
-        usable = (name for name in candidates if name not in self._suspects)
+        usable = (
+            name
+            for name in candidates
+            if name not in self._suspects and name not in gone
+        )
         return next(usable, default)
 
     def table(self, service):
--- a/packages/control/src/kingcupport/control/daemon.py
+++ b/packages/control/src/kingcupport/control/daemon.py
@@ -8,6 +8,8 @@
 from gevent import event
 
 from kingcupport.control import control_plane
+from kingcupport.control import instance_list
+from kingcupport.control import polled_instance_list
 from kingcupport.observability import audit_trail
 from kingcupport.observability import health as health_module
 from kingcupport.observability import http_server
@@ -67,6 +69,14 @@
             figures=self._figures,
         )
         self._keeper = self._control.keeper
+        self._instances = polled_instance_list.PolledInstanceList(
+            instance_list.make_http_instance_list(
+                settings.configuration_address
+            ),
+            clock,
+            rng,
+            lambda: len(self._keeper.peer_addresses),
+        )
 
     @abc.abstractmethod
     def start(self):
@@ -115,6 +125,7 @@
         self._http.start()
         self._control.start()
         self._spawn(self._socket.receive_forever, on_data)
+        self._spawn(self._instances.run)
         self._spawn(self._wait_ready)
 
     def _spawn(self, function, *arguments):
--- a/packages/control/src/kingcupport/control/polled_instance_list.py
+++ b/packages/control/src/kingcupport/control/polled_instance_list.py
@@ -11,6 +11,10 @@
 # second at 6,240 processes.
 RATE_BUDGET_PER_S = 300
 MIN_INTERVAL_MS = 1_000
+# The service returns the whole list. At 6,240 processes it is about 200 KB;
+# one reading in 133 s leaves most of the 4 KB/s of a node to the rest.
+BYTE_BUDGET_PER_S = 1_500
+ENTRY_BYTES = 32
 _JITTER = (0.75, 1.25)
 
 
@@ -30,6 +34,12 @@
         self._rng = rng
         self._process_count = process_count
         self._states = {}
+        self._gone = frozenset()
+
+    @property
+    def gone(self):
+        """Names of the instances that the list says are gone."""
+        return self._gone
 
     def states(self):
         """Return the states read last; empty before the first reading."""
@@ -43,12 +53,22 @@
         )
 
     def _next_delay_ms(self):
-        interval_ms = self._process_count() * 1000 / RATE_BUDGET_PER_S
-        return max(MIN_INTERVAL_MS, interval_ms) * self._rng.uniform(*_JITTER)
+        processes = self._process_count()
+        interval_ms = max(
+            MIN_INTERVAL_MS,
+            processes * 1000 / RATE_BUDGET_PER_S,
+            processes * ENTRY_BYTES * 1000 / BYTE_BUDGET_PER_S,
+        )
+        return interval_ms * self._rng.uniform(*_JITTER)
 
     def _read(self):
         try:
             self._states = self._source.states()
+            self._gone = frozenset(
+                name
+                for name, state in self._states.items()
+                if state is instance_list.InstanceState.GONE
+            )
         except instance_list.InstanceListError as error:
             # The last list stays in use: it lags in any case.
             LOG.debug('instance list not read', extra={'error': error})
--- a/tests/balancer/test_data_path.py
+++ b/tests/balancer/test_data_path.py
@@ -13,6 +13,7 @@
 from kingcupport.routing import suspects
 from kingcupport.wire import datagrams
 from kingcupport.wire import packet
+from kingcupport.wire import packet_format
 
 GATE = address.Address('127.0.0.1', 80)
 AUDIO = address.Address('127.0.0.1', 81)
@@ -43,10 +44,9 @@
 
     def __init__(self, fleet):
         self.sent = []
+        self.gone = frozenset()
         self.clock = manual_clock.ManualClock()
         self.hints = hint_cache.HintCache()
-        from kingcupport.wire import packet_format
-
         self.path = data_path.DataPath(
             fleet,
             OWN,
@@ -54,6 +54,7 @@
             lambda data, destination: self.sent.append((data, destination)),
             self.hints,
             suspects.Suspects(self.clock, 2000),
+            lambda: self.gone,
             lambda datagram, source: None,
             data_path_counters.DataPathCounters(),
         )
@@ -122,3 +123,13 @@
     assert second == table.candidates(connection_id, 2)[1]
     bench.clock.advance(2001)
     assert bench.path.target('gate', connection_id) == first
+
+
+def test_only_new_connections_avoid_an_instance_listed_as_gone():
+    """A wrong list must not take a connection away from its owner."""
+    bench = _Bench(_make_fleet())
+    owner = bench.path.target('gate', 7, is_open=True)
+    bench.gone = frozenset((owner,))
+    second = bench.path.table('gate').candidates(7, 2)[1]
+    assert bench.path.target('gate', 7, is_open=True) == second
+    assert bench.path.target('gate', 7) == owner
--- a/tests/faults/test_new_connections.py
+++ b/tests/faults/test_new_connections.py
@@ -9,6 +9,8 @@
 import geventhttpclient
 import pytest
 
+from kingcupport.standins import json_client
+
 REQUESTS_PER_S = 40
 DURATION_MS = 5_000
 FAULT_AFTER_MS = 1_000
@@ -122,3 +124,22 @@
     late = [ms for ms in callers.failures_ms if ms > recovered_ms]
     assert late == []
     assert callers.answered > 0
+
+
+def test_opens_avoid_a_silent_agent_that_is_listed_as_gone(bed):
+    """A vanished instance answers nothing; only the list tells."""
+    victim = bed.members('ticketing')[0]
+    callers = _Callers(bed)
+    task = gevent.spawn(callers.run)
+    fault_bed.sleep_ms(FAULT_AFTER_MS)
+    bed.group.pause(victim.name)
+    json_client.call(
+        bed.deployment.configuration_address,
+        'PUT',
+        '/_instances',
+        {victim.name: 'gone'},
+    )
+    task.get()
+    recovered_ms = FAULT_AFTER_MS + RECOVERY_MS
+    late = [ms for ms in callers.failures_ms if ms > recovered_ms]
+    assert late == []
