Serve new connections while an agent is silent

Cause: a paused agent looks idle, so its peers passed new connections on to it, and balancers sent it the packets of its buckets; nothing in the system avoided an instance that answers nothing. The handoff state machine, run together with other tests, also lost a half-open connection whose confirmations went to an agent that was paused for 30 s. Ruled out: a busy loop of the agents (0.4 s of processor time in 5 s); avoiding the agent for OPEN packets alone, which left 30 % unanswered because the data still went to it.

--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -173,6 +173,9 @@
         return service is not None and service.name != self._service
 
     def _on_open(self, envelope, packet):
+        if self._is_repeated_open(envelope, packet):
+            self._accept_open(envelope, packet)
+            return
         if self._follow_redirect(envelope, packet):
             return
         candidates = self._candidates(packet.connection_id)
@@ -186,9 +189,27 @@
             decision = _Placement.ACCEPT
         if decision == _Placement.PASS_ON:
             self.counters.placed_elsewhere += 1
-            self._table.set_redirect(packet.connection_id, next_name)
+            self._table.set_redirect(
+                packet.connection_id, next_name, is_placement=True
+            )
             self._pass_on(envelope, next_name)
             return
+        self._accept_open(envelope, packet)
+
+    def _is_repeated_open(self, envelope, packet):
+        """Whether the caller repeats an OPEN that was passed on here before.
+
+        The other agent may be silent. Should it have accepted after all, the
+        caller's stream id tells which of the two owns the connection.
+        """
+        return (
+            not envelope.tried
+            and not self.draining
+            and not self._table.full
+            and self._table.was_placed_elsewhere(packet.connection_id)
+        )
+
+    def _accept_open(self, envelope, packet):
         self.counters.accepted += 1
         self._accept(packet)
         if envelope.tried:
--- a/packages/balancer/src/kingcupport/balancer/data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/data_path.py
@@ -93,11 +93,7 @@
             self.counters.malformed += 1
             return
         service = self._services.get(fields.service_address)
-        agent_name = self.target(
-            service,
-            fields.connection_id,
-            is_open=fields.kind == packet_module.PacketKind.OPEN,
-        )
+        agent_name = self.target(service, fields.connection_id)
         if agent_name is None:
             self._refuse(fields, data)
             return
@@ -106,17 +102,16 @@
             self._headers[service] + data, self._agent_addresses[agent_name]
         )
 
-    def target(self, service, connection_id, is_open=False):
+    def target(self, service, connection_id):
         """Return the name of the agent for a connection, or None.
 
-        The list of instances lags and may be wrong, so only new connections
-        avoid an agent that it says is gone; an established one is lost in
-        any case if the list is right.
+        An agent that the list of instances says is gone is reached by a hint
+        only. The list may be wrong; the next candidate then passes the
+        packets of the agent's connections on to it.
 
         Args:
             service: Name of the service; None gives None.
             connection_id: The connection.
-            is_open: Whether the packet opens the connection.
         """
         agent_name = self._hints.get(connection_id)
         if agent_name is not None and self._serves(agent_name, service):
@@ -125,7 +120,7 @@
         if table is None:
             return None
         agent_name = table.owner(connection_id)
-        gone = self._gone() if is_open else frozenset()
+        gone = self._gone()
         is_suspect = self._suspects and agent_name in self._suspects
         if is_suspect or agent_name in gone:
             return self._next_candidate(table, connection_id, gone, agent_name)
--- a/packages/connections/src/kingcupport/connections/connection_limits.py
+++ b/packages/connections/src/kingcupport/connections/connection_limits.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+# TCP gives a SYN-ACK about as long. With 15 s a connection was lost whose
+# confirmations went to an agent that was paused for 30 s.
+HALF_OPEN_TIMEOUT_MS = 60_000
+
 
 @attrs.frozen
 class ConnectionLimits:
@@ -18,7 +22,7 @@
             none.
     """
 
-    half_open_timeout_ms: int = 15_000
+    half_open_timeout_ms: int = HALF_OPEN_TIMEOUT_MS
     idle_timeout_ms: int = 86_400_000
     request_timeout_ms: int = 30_000
     max_pipelined_count: int = 16
--- a/packages/connections/src/kingcupport/connections/connection_table.py
+++ b/packages/connections/src/kingcupport/connections/connection_table.py
@@ -15,10 +15,13 @@
     Args:
         agent_name: Name of the new owner.
         deadline_ms: When it is forgotten unless it is used before.
+        is_placement: Whether only an OPEN was passed on, so that the other
+            agent may not have accepted the connection.
     """
 
     agent_name: str
     deadline_ms: float
+    is_placement: bool
 
 
 class ConnectionTable:
@@ -69,14 +72,27 @@
         """Return the connections owned, in a list."""
         return list(self._connections.values())
 
-    def set_redirect(self, connection_id, agent_name):
-        """Remember where a connection is; the oldest redirect makes room."""
+    def set_redirect(self, connection_id, agent_name, is_placement=False):
+        """Remember where a connection is; the oldest redirect makes room.
+
+        Args:
+            connection_id: The connection.
+            agent_name: Name of the agent that has it.
+            is_placement: Whether only its OPEN was passed on.
+        """
         deadline_ms = self._clock.monotonic_ms() + REDIRECT_TIMEOUT_MS
-        self._redirects[connection_id] = Redirect(agent_name, deadline_ms)
+        self._redirects[connection_id] = Redirect(
+            agent_name, deadline_ms, is_placement
+        )
         self._redirects.move_to_end(connection_id)
         while len(self._redirects) > MAX_REDIRECTS:
             self._redirects.popitem(last=False)
 
+    def was_placed_elsewhere(self, connection_id):
+        """Return whether an OPEN of a connection was passed on before."""
+        redirect = self._redirects.get(connection_id)
+        return redirect is not None and redirect.is_placement
+
     def redirect(self, connection_id):
         """Return the agent's name that a connection was passed to, or None.
 
--- a/tests/agent/test_data_path.py
+++ b/tests/agent/test_data_path.py
@@ -285,3 +285,12 @@
     bed.simulation.clock.advance(16_000, step_ms=4_000)
     bed.close()
     assert len(bed.agent.table) == 0
+
+
+def test_repeated_open_is_accepted_where_it_was_passed_on(bed):
+    """Guards against callers that wait for an agent that is silent."""
+    bed.agent.table.set_redirect(_ID, 'c', is_placement=True)
+    bed.deliver(_KIND.OPEN, ('b',))
+    assert bed.passed_to() == [('c', ['b', 'a'])]
+    bed.deliver(_KIND.OPEN)
+    assert bed.agent.table.get(_ID) is not None
