Keep runs and redirects right when a connection moves back and forth

Ruled out: linking an adopted request to the run at the adopting agent (the receiver would have to know LentRuns); a count of visits for each agent (fails with one more handoff).

Change: LentRuns keeps the first run of a request and forgets it only with its own handoff; redirects are followed for up to 24 hops; such requests are asked for until their deadline.

--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -9,6 +9,9 @@
 
 # Agents asked for an unknown connection before the caller gets a reset.
 MAX_ASKED_AGENTS = 8
+# Redirects are followed that far. Each follows one handoff, so only a
+# connection that moves on again and again within milliseconds needs many.
+MAX_HOPS = 24
 
 _Kind = packet_module.PacketKind
 _Placement = placement_module.Placement
@@ -192,10 +195,10 @@
     def _follow_redirect(self, envelope, packet):
         name = self._table.redirect(packet.connection_id)
         # The target may have passed the packet on just before it adopted the
-        # connection, so it is asked a second time.
+        # connection, so agents that were tried are asked again.
         if (
             name is None
-            or envelope.tried.count(name) > 1
+            or len(envelope.tried) >= MAX_HOPS
             or not self._is_reachable(name)
         ):
             return False
--- a/packages/connections/src/kingcupport/connections/answer_fetcher.py
+++ b/packages/connections/src/kingcupport/connections/answer_fetcher.py
@@ -45,6 +45,8 @@
         idempotent request runs again, a claimed one is looked up under its
         key, and any other request ends as unknown.
         """
+        # Any other request has nothing to lose by asking until its deadline.
+        may_run_again = request.idempotent or request.claimed
         wait_ms = FIRST_WAIT_MS
         failures = 0
         now_ms = self._clock.monotonic_ms()
@@ -58,11 +60,11 @@
             if reply is not None and not reply.known:
                 break
             failures = failures + 1 if reply is None else 0
-            if failures >= MAX_FAILURES:
+            if failures >= MAX_FAILURES and may_run_again:
                 break
             self._clock.sleep_until(self._clock.monotonic_ms() + wait_ms)
             wait_ms = min(2 * wait_ms, MAX_WAIT_MS)
-        if request.idempotent or request.claimed:
+        if may_run_again:
             answer = self._next_runner.submit(request)
             # The former owner may have run it, whatever happened here.
             if answer.outcome != _Outcome.NOT_RUN:
--- a/packages/connections/src/kingcupport/connections/lent_runs.py
+++ b/packages/connections/src/kingcupport/connections/lent_runs.py
@@ -49,12 +49,19 @@
         self._forget_old()
         now_ms = self._clock.monotonic_ms()
         for item in pending:
-            self._runs[item.request.request_id] = _LentRun(item, now_ms)
+            # If the connection had come back here, the first entry has the
+            # run, and the new one waits for it by way of another agent.
+            run = self._runs.setdefault(
+                item.request.request_id, _LentRun(item)
+            )
+            run.lend(now_ms)
 
     def discard(self, pending):
         """Forget requests whose connection stayed here."""
         for item in pending:
-            self._runs.pop(item.request.request_id, None)
+            run = self._runs.get(item.request.request_id)
+            if run is not None and run.result is item.result:
+                del self._runs[item.request.request_id]
 
     def on_fetch(self, message, peer):
         """Return an AnswerFetched."""
@@ -96,11 +103,15 @@
 class _LentRun:
     """One request that runs here for another agent's connection."""
 
-    def __init__(self, pending, now_ms):
+    def __init__(self, pending):
         self.result = pending.result
-        self.kept_until_ms = (
-            max(now_ms, pending.request.deadline_ms) + ANSWER_KEPT_MS
-        )
+        self._deadline_ms = pending.request.deadline_ms
+        self.kept_until_ms = 0
+        self.fetched = False
+
+    def lend(self, now_ms):
+        """Keep the answer for another new owner."""
+        self.kept_until_ms = max(now_ms, self._deadline_ms) + ANSWER_KEPT_MS
         self.fetched = False
 
 
--- a/tests/connections/test_lent_runs.py
+++ b/tests/connections/test_lent_runs.py
@@ -66,3 +66,19 @@
     clock.advance(lent_runs.ANSWER_KEPT_MS)
     assert runs.unfetched_count == 0
     assert not _fetch(runs).known
+
+
+def test_run_is_kept_when_its_connection_comes_back_and_leaves_again():
+    """Guards against two agents that wait for each other's answer.
+
+    The connection's second PendingRequest here waits for the former owner,
+    which waits for this agent.
+    """
+    runs, pending, _ = _make()
+    waiting = pending_request.PendingRequest(pending.request, '1.1', True)
+    runs.add([waiting])
+    runs.discard([waiting])
+    runs.add([waiting])
+    assert not _fetch(runs).ready
+    pending.result.set(_ANSWER)
+    assert _fetch(runs).ready
