--- a/tests/handoff_simulation.py
+++ b/tests/handoff_simulation.py
@@ -134,7 +134,7 @@
         self.loads = peer_loads.PeerLoads(clock, lambda: len(self.table))
         self.lent_runs = lent_runs.LentRuns(name, self.keeper, clock)
         ids = connection.request_counter(f'{name}-{rng.getrandbits(32)}')
-        caller = _Caller(simulation, self)
+        caller = simulation.make_caller(self)
         self.factory = connection_factory.ConnectionFactory(
             make_settings(name),
             self.keeper,
@@ -303,7 +303,7 @@
             payload,
             '10.9.9.9:1234',
             SERVICE_ADDRESS,
-            RETURN_ADDRESS,
+            self.simulation.return_address,
         )
         self.simulation.spray(packet_module.encode_packet(packet))
 
@@ -383,6 +383,7 @@
         self.clock = SimulatedClock()
         self.clock.after_step = self._after_step
         self._make_runner = make_runner
+        self.return_address = RETURN_ADDRESS
         self.loss_percent = 0
         # What happens to the next calls between agents.
         self.fates = []
@@ -399,6 +400,9 @@
         for name in names:
             self.agents[name] = SimulatedAgent(self, name, self.fleet)
 
+    def make_caller(self, agent):
+        return _Caller(self, agent)
+
     def make_runner(self, agent):
         return self._make_runner(self, agent)
 
