Measure one agent's connections and idle processes at the design's size

Ruled out: elapsed time as the measure, because the machine is shared; the figures are processor time from schedstat. Peers that answer, because that needs as many agents as the service has hosts. The addresses of the fleet are all in 127.0.0.0/8, and the socket that stands for them is bound to the loopback interface.

--- /dev/null
+++ b/bench/idle_memory.py
@@ -0,0 +1,509 @@
+"""Memory, processor time and traffic of idle processes at the design's size.
+
+Real balancer and agent processes with a fleet of 5,600 hosts, 640 balancers
+and 520 services. This process plays the configuration service and receives
+the revision notices: every address of the fleet is in 127.0.0.0/8, and one
+UDP socket on the loopback interface takes what is sent to any of them. No
+peer answers over TCP.
+
+    python bench/idle_memory.py [seconds]
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import pathlib  # noqa: E402
+import subprocess  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+
+import agent_connections  # noqa: E402
+import gevent  # noqa: E402
+import gevent.server  # noqa: E402
+import gevent.socket  # noqa: E402
+import process_figures as figures  # noqa: E402
+
+from kingcupport.common import address as address_module  # noqa: E402
+from kingcupport.common import clock as clock_module  # noqa: E402
+from kingcupport.fleet import backend_server  # noqa: E402
+from kingcupport.fleet import balancer  # noqa: E402
+from kingcupport.fleet import documents  # noqa: E402
+from kingcupport.fleet import fleet as fleet_module  # noqa: E402
+from kingcupport.fleet import release_note  # noqa: E402
+from kingcupport.fleet import service  # noqa: E402
+from kingcupport.standins import configuration_service  # noqa: E402
+from kingcupport.standins import process_probe  # noqa: E402
+from kingcupport.standins import published_state  # noqa: E402
+from kingcupport.wire import datagrams  # noqa: E402
+
+SERVICES = 520
+BALANCERS = 640
+HOSTS = 5_600
+# Three reads of the instance list, one in 20.8 s at this size.
+IDLE_S = 62.4
+NOTES = 10
+# Processes of a fleet of this size poll every 6.2 s, with 25 % jitter.
+NOTES_WAIT_S = 12
+NOTICES_PER_S = 2
+START_TIMEOUT_S = 40
+UDP_HEADER_BYTES = 28
+TCP_HEADER_BYTES = 80
+
+LIBRARIES = (
+    'gevent, msgpack, attrs, cattrs, xxhash, h11, geventhttpclient, cleo, '
+    'pythonjsonlogger, aioprometheus, hdrh'
+)
+# Statement that a child runs before it prints its memory.
+BARE_PROCESSES = {
+    'interpreter alone': 'pass',
+    'all libraries of the project imported': f'import {LIBRARIES}',
+    'balancer imported': 'import kingcupport.balancer.balancer',
+    'agent imported': 'import kingcupport.agent.agent',
+}
+
+
+class Relay:
+    """TCP relay that counts the bytes in both directions.
+
+    Args:
+        destination: Address of the configuration service.
+    """
+
+    def __init__(self, destination):
+        self._destination = destination.as_tuple()
+        self.bytes = 0
+        self._server = gevent.server.StreamServer(
+            ('127.0.0.1', 0), self._serve
+        )
+        self._server.start()
+
+    @property
+    def address(self):
+        """Address to connect to."""
+        return address_module.Address('127.0.0.1', self._server.server_port)
+
+    def _serve(self, sock, source):
+        with gevent.socket.create_connection(self._destination) as other:
+            back = gevent.spawn(self._copy, other, sock)
+            self._copy(sock, other)
+            back.kill()
+
+    def _copy(self, source, destination):
+        try:
+            while data := source.recv(65_536):
+                self.bytes += len(data) + TCP_HEADER_BYTES
+                destination.sendall(data)
+        except OSError:
+            return
+
+    def stop(self):
+        """Stop the server."""
+        self._server.stop(timeout=0)
+
+
+class Notices:
+    """Takes the notices to all processes of the fleet and sends some.
+
+    Args:
+        port: UDP port of all of them.
+    """
+
+    def __init__(self, port):
+        self._sock = gevent.socket.socket(type=gevent.socket.SOCK_DGRAM)
+        self._sock.setsockopt(
+            gevent.socket.SOL_SOCKET, gevent.socket.SO_BINDTODEVICE, b'lo'
+        )
+        self._sock.bind(('0.0.0.0', port))
+        self.received_bytes = {}
+        gevent.spawn(self._receive)
+
+    def _receive(self):
+        while True:
+            data, source = self._sock.recvfrom(2048)
+            total = self.received_bytes.get(source, 0)
+            self.received_bytes[source] = total + len(data) + UDP_HEADER_BYTES
+
+    def send_forever(self, destination, state):
+        """Send what the other processes of the fleet would send."""
+        sender = str(fleet_address(1, 5, self._sock.getsockname()[1]))
+        while True:
+            fleet = state.fleet
+            notice = datagrams.RevisionNotice(
+                fleet.revision, fleet.digest, sender
+            )
+            self._sock.sendto(
+                datagrams.encode_revision_notice(notice),
+                destination.as_tuple(),
+            )
+            gevent.sleep(1 / NOTICES_PER_S)
+
+
+def fleet_address(group, number, port):
+    """Return an address in 127.0.0.0/8 that is unique in its group."""
+    high, low = divmod(number, 250)
+    return address_module.Address(f'127.{group}.{high}.{low + 1}', port)
+
+
+def make_fleet(port, own_port):
+    """Return a fleet of the design's size, on loopback addresses.
+
+    Args:
+        port: Port of all balancers and agents but the first of each.
+        own_port: Port of the first balancer and the first agent.
+    """
+    services = {
+        f'service-{i:03}': service.Service(
+            f'service-{i:03}', fleet_address(3, i, 80)
+        )
+        for i in range(SERVICES)
+    }
+    balancers = {
+        f'balancer-{i:03}': balancer.Balancer(
+            f'balancer-{i:03}',
+            fleet_address(1, i, port if i else own_port),
+            f'data-centre-{i % 6}',
+        )
+        for i in range(BALANCERS)
+    }
+    return fleet_module.Fleet(
+        1, 'd' * 32, services, balancers, _make_hosts(port, own_port)
+    )
+
+
+def _make_hosts(port, own_port):
+    return {
+        f'host-{i:04}': make_host(i, port if i else own_port, i % SERVICES)
+        for i in range(HOSTS)
+    }
+
+
+def make_host(number, port, service_number):
+    """Return the backend server of a number."""
+    return backend_server.BackendServer(
+        f'host-{number:04}',
+        f'service-{service_number:03}',
+        fleet_address(2, number, port),
+        fleet_address(4, number, 8000),
+        f'data-centre-{number % 6}',
+        added_revision=1,
+    )
+
+
+def make_note(fleet, number, port):
+    """Return a note that adds one host to the first service."""
+    empty = dict.fromkeys(documents.ENTRY_CLASSES, ())
+    host = make_host(number, port, 0)
+    return release_note.ReleaseNote(
+        fleet.revision + 1,
+        fleet.revision,
+        fleet.digest,
+        empty | {'backend_servers': (host,)},
+        empty,
+        empty,
+    )
+
+
+def _print_bare_processes():
+    for name, statement in BARE_PROCESSES.items():
+        script = (
+            f'{statement}\n'
+            'import process_figures as p\n'
+            "print(p.memory_kb(), p.memory_kb(key='RssAnon'))"
+        )
+        output = subprocess.run(
+            [sys.executable, '-c', script],
+            cwd=pathlib.Path(__file__).parent,
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        rss_kb, anonymous_kb = output.split()
+        figures.print_figure(
+            f'RSS, {name}', rss_kb, 'KB', f'{anonymous_kb} KB of it anonymous'
+        )
+
+
+class _Step:
+    """Prints processor time and memory of one step of this process."""
+
+    def __init__(self, name, count=1):
+        self._name = name
+        self._count = count
+
+    def __enter__(self):
+        self._memory_kb = figures.memory_kb()
+        self._started_s = time.process_time()
+
+    def __exit__(self, *_):
+        used_ms = 1000 * (time.process_time() - self._started_s)
+        grown_kb = figures.memory_kb() - self._memory_kb
+        figures.print_figure(
+            self._name,
+            f'{used_ms / self._count:.2f}',
+            'ms of processor time',
+            f'RSS grows by {grown_kb} KB, {self._count} times',
+        )
+
+
+def _print_tables():
+    """Load a fleet and build the tables, in a process for this alone."""
+    from kingcupport.balancer import data_path
+    from kingcupport.balancer import data_path_counters
+    from kingcupport.control import fleet_keeper
+    from kingcupport.observability import audit_trail
+    from kingcupport.routing import hint_cache
+    from kingcupport.wire import packet_format
+
+    port = 9_000
+    text = sys.stdin.read()
+    clock = clock_module.make_system_clock()
+    keeper = fleet_keeper.FleetKeeper(audit_trail.AuditTrail(clock))
+    with _Step('load: parse and accept the whole fleet'):
+        keeper.offer_plain_fleet(json.loads(text), 'bench')
+    with _Step('load: data path of a balancer'):
+        path = data_path.DataPath(
+            keeper.fleet,
+            fleet_address(1, 0, port),
+            packet_format.make_packet_format(),
+            lambda data, destination: None,
+            hint_cache.HintCache(),
+            (),
+            lambda datagram, source: None,
+            data_path_counters.DataPathCounters(),
+        )
+    names = list(keeper.fleet.services)
+    with _Step(f'build the tables of {len(names)} services'):
+        for name in names:
+            path.table(name)
+    _print_note_steps(keeper, path, port)
+
+
+def _print_note_steps(keeper, path, port):
+    names = list(keeper.fleet.services)
+    notes = []
+    fleet = keeper.fleet
+    for i in range(NOTES):
+        note = make_note(fleet, HOSTS + i, port)
+        fleet = release_note.apply_release_note(fleet, note)
+        notes.append(release_note.note_to_plain(note))
+    del fleet
+    with _Step('note: accept in the fleet keeper', NOTES):
+        fleets = []
+        for note in notes:
+            keeper.offer_plain_note(note, 'bench')
+            fleets.append(keeper.fleet)
+    with _Step('note: data path of a balancer', NOTES):
+        for fleet in fleets:
+            path.set_fleet(fleet)
+    with _Step('note: all tables, one service changed', 1):
+        for name in names:
+            path.table(name)
+
+
+def _measure_tables(fleet):
+    plain = documents.fleet_to_plain(fleet)
+    text = json.dumps(plain, separators=(',', ':'))
+    figures.print_figure('whole fleet as JSON', len(text), 'B')
+    subprocess.run(
+        [sys.executable, __file__, '--tables'],
+        input=text,
+        text=True,
+        check=True,
+    )
+
+
+class Program:
+    """One idle program with its relay.
+
+    Args:
+        package: ``balancer`` or ``agent``.
+        entry_address: Its address in the fleet.
+        extra: Lines of its settings.
+        configuration: Address of the configuration service.
+        directory: For settings and log.
+    """
+
+    def __init__(
+        self, package, entry_address, extra, configuration, directory
+    ):
+        self.package = package
+        self.address = entry_address
+        self.relay = Relay(configuration)
+        http = address_module.Address(
+            '127.0.0.1', agent_connections.free_port()
+        )
+        path = pathlib.Path(directory) / f'{package}.toml'
+        path.write_text(
+            f"data_centre = 'data-centre-0'\naddress = '{entry_address}'\n"
+            f"http_address = '{http}'\n"
+            f"configuration_address = '{self.relay.address}'\n{extra}",
+            encoding='utf-8',
+        )
+        self.process = figures.start_program(
+            package, path, path.with_suffix('.log')
+        )
+        self._probe = process_probe.ProcessProbe(http)
+
+    def wait_ready(self):
+        """Wait until the program is ready; print what that took."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while not self._ready():
+            if time.monotonic() > deadline:
+                raise SystemExit(f'{self.package} did not become ready')
+            gevent.sleep(0.2)
+        figures.print_figure(
+            f'{self.package}: start until ready with the fleet',
+            f'{figures.processor_s(self.process.pid):.2f}',
+            's of processor time',
+        )
+
+    def _ready(self):
+        try:
+            return self._probe.ready()
+        except process_probe.ProbeError:
+            return False
+
+    def revision(self):
+        """Return the revision in force there."""
+        return self._probe.revision()
+
+    def print_memory(self, moment):
+        """Print the memory of the program."""
+        pid = self.process.pid
+        anonymous_kb = figures.memory_kb(pid, 'RssAnon')
+        peak_kb = figures.memory_kb(pid, 'VmHWM')
+        figures.print_figure(
+            f'{self.package}: RSS {moment}',
+            figures.memory_kb(pid),
+            'KB',
+            f'{anonymous_kb} KB of it anonymous, peak {peak_kb} KB',
+        )
+
+    def stop(self):
+        """Stop the program and its relay."""
+        figures.stop_program(self.process)
+        self.relay.stop()
+
+
+def _measure_program(program, state, notices, idle_s, port):
+    try:
+        program.wait_ready()
+        task = gevent.spawn(notices.send_forever, program.address, state)
+        gevent.sleep(2)
+        program.print_memory('with the fleet')
+        idle_share = _measure_idle(program, notices, idle_s)
+        _measure_notes(program, state, idle_share, port)
+        program.print_memory(f'after {NOTES} notes')
+        task.kill()
+    finally:
+        program.stop()
+
+
+def _measure_idle(program, notices, idle_s):
+    pid = program.process.pid
+    source = program.address.as_tuple()
+    cpu_s = figures.processor_s(pid)
+    polled = program.relay.bytes
+    noticed = notices.received_bytes.get(source, 0)
+    gevent.sleep(idle_s)
+    cpu_s = figures.processor_s(pid) - cpu_s
+    polled = program.relay.bytes - polled
+    noticed = notices.received_bytes.get(source, 0) - noticed
+    name = program.package
+    figures.print_figure(
+        f'{name}: idle', f'{100 * cpu_s / idle_s:.3f}', '% of a core'
+    )
+    figures.print_figure(
+        f'{name}: configuration service, both directions',
+        f'{polled / idle_s:.0f}',
+        'B/s',
+        'instance list included; TCP headers estimated',
+    )
+    figures.print_figure(
+        f'{name}: revision notices sent',
+        f'{noticed / idle_s:.0f}',
+        'B/s',
+        'as many are received',
+    )
+    figures.print_figure(
+        f'{name}: control traffic',
+        f'{(polled + 2 * noticed) / idle_s:.0f}',
+        'B/s',
+        'sent and received',
+    )
+    return cpu_s / idle_s
+
+
+def _measure_notes(program, state, idle_share, port):
+    pid = program.process.pid
+    polled = program.relay.bytes
+    cpu_s = figures.processor_s(pid)
+    for _ in range(NOTES):
+        number = len(state.fleet.backend_servers)
+        state.publish(make_note(state.fleet, number, port))
+    gevent.sleep(NOTES_WAIT_S)
+    cpu_s = figures.processor_s(pid) - cpu_s
+    polled = program.relay.bytes - polled
+    if program.revision() != state.fleet.revision:
+        raise SystemExit(f'{program.package} has not accepted the notes')
+    figures.print_figure(
+        f'{program.package}: one note',
+        f'{1000 * (cpu_s - idle_share * NOTES_WAIT_S) / NOTES:.1f}',
+        'ms of processor time',
+        f'{NOTES} notes in one poll, idle time subtracted; '
+        f'{polled} B with the polls of {NOTES_WAIT_S} s',
+    )
+
+
+def _measure_programs(directory, fleet, idle_s, port):
+    clock = clock_module.make_system_clock()
+    notices = Notices(port)
+    agent_settings = (
+        "name = 'host-0000'\nservice = 'service-000'\n"
+        f"server_address = '{fleet_address(4, 0, 8000)}'\n"
+    )
+    own = {
+        'balancer': (
+            fleet.balancers['balancer-000'].address,
+            "name = 'balancer-000'\n",
+        ),
+        'agent': (
+            fleet.backend_servers['host-0000'].agent_address,
+            agent_settings,
+        ),
+    }
+    for package, (entry_address, extra) in own.items():
+        state = published_state.PublishedState(clock)
+        state.publish_fleet(fleet)
+        standin = configuration_service.ConfigurationService(
+            address_module.Address('127.0.0.1', agent_connections.free_port()),
+            state,
+            clock,
+        )
+        standin.start()
+        program = Program(
+            package, entry_address, extra, standin.address, directory
+        )
+        _measure_program(program, state, notices, idle_s, port)
+        standin.stop()
+
+
+def main():
+    """Run every measurement."""
+    if '--tables' in sys.argv:
+        _print_tables()
+        return
+    idle_s = float(sys.argv[1]) if len(sys.argv) > 1 else IDLE_S
+    port = agent_connections.free_port()
+    fleet = make_fleet(port, agent_connections.free_port())
+    _print_bare_processes()
+    _measure_tables(fleet)
+    with tempfile.TemporaryDirectory() as directory:
+        _measure_programs(directory, fleet, idle_s, port)
+
+
+if __name__ == '__main__':
+    main()
