Hold claimed work back after a pause and count only pure duplicate acks

Cause: the scheduler started claimed work that it had queued before a pause without asking whether the view had been compared; and the acks of pipelined requests counted as duplicates, which resends a segment for nothing. Both were read in the code by the authors of the parts. Ruled out: a hook in the scheduler; a port in front of the server needs no change there and covers work that peers handed over. Change: ClaimGatePort; OutputStream.on_ack takes whether the ack is pure; an agent whose slots differ from the fleet's reports not ready.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -20,6 +20,7 @@
 from kingcupport.control import daemon
 from kingcupport.fleet import service as service_module
 from kingcupport.requests import backend_port
+from kingcupport.requests import claim_gate_port
 from kingcupport.requests import keyed_runner
 from kingcupport.requests import peer_loads
 from kingcupport.requests import scheduler as scheduler_module
@@ -66,8 +67,10 @@
 
     def _make_requests(self):
         settings = self._settings
-        port = backend_port.make_backend_port(
-            settings.server_address, self._clock, settings.slots_count
+        self._claim_gate = claim_gate_port.ClaimGatePort(
+            backend_port.make_backend_port(
+                settings.server_address, self._clock, settings.slots_count
+            )
         )
         self._loads = peer_loads.PeerLoads(
             self._clock, lambda: len(self._table)
@@ -81,7 +84,10 @@
             self._loads,
         )
         self._scheduler = scheduler_module.RequestScheduler(
-            port, self._clock, settings.slots_count, sharing=sharing
+            self._claim_gate,
+            self._clock,
+            settings.slots_count,
+            sharing=sharing,
         )
         self._control.server.add_handlers(sharing.handlers())
         self._runner = None
@@ -207,6 +213,7 @@
             next_runner=self._scheduler,
         )
         self._control.server.add_handlers(self._runner.handlers)
+        self._claim_gate.may_run = self._runner.may_run
         self._factory.runner = self._runner
         self._drain.keyed_runner = self._runner
         self._runner.start()
--- a/packages/agent/src/kingcupport/agent/own_entry.py
+++ b/packages/agent/src/kingcupport/agent/own_entry.py
@@ -17,6 +17,7 @@
             ('service', entry.service, settings.service),
             ('address', entry.agent_address, settings.address),
             ('server_address', entry.server_address, settings.server_address),
+            ('slots', entry.slots, settings.slots_count),
         )
         if in_fleet != in_settings
     ]
--- a/packages/connections/src/kingcupport/connections/connection.py
+++ b/packages/connections/src/kingcupport/connections/connection.py
@@ -226,7 +226,8 @@
             self._cancel_pending()
             self._ended = True
             return
-        self._output.on_ack(packet.ack)
+        is_pure = kind == packet_module.PacketKind.ACK
+        self._output.on_ack(packet.ack, is_pure)
         if kind == packet_module.PacketKind.DATA:
             self._process_data(packet)
         elif kind == packet_module.PacketKind.CLOSE:
--- a/packages/connections/src/kingcupport/connections/output_stream.py
+++ b/packages/connections/src/kingcupport/connections/output_stream.py
@@ -78,14 +78,17 @@
             self._closed = True
             self._send_window()
 
-    def on_ack(self, ack):
+    def on_ack(self, ack, is_pure=True):
         """Take the other side's count of bytes received.
 
         Args:
             ack: Number of positions received in order, the end included.
+            is_pure: Whether the packet carried nothing else; others repeat
+                the number without meaning a loss.
         """
         if ack <= self._base:
-            self._count_duplicate_ack(ack)
+            if is_pure:
+                self._count_duplicate_ack(ack)
             return
         acked = ack - self._base
         if acked > len(self._buffer) + (1 if self._closed else 0):
--- a/tests/agent/test_own_entry.py
+++ b/tests/agent/test_own_entry.py
@@ -48,6 +48,7 @@
             {'server_address': address.Address('127.0.0.1', 1)},
             'server_address',
         ),
+        ({'slots': 2}, 'slots'),
     ],
 )
 def test_difference_is_named(changes, words):
--- a/tests/connections/test_streams.py
+++ b/tests/connections/test_streams.py
@@ -98,3 +98,18 @@
     beyond = input_stream.RECEIVE_WINDOW_BYTES
     assert stream.on_segment(beyond, b'x') == b''
     assert not stream._segments
+
+
+def test_requests_that_repeat_an_ack_cause_no_retransmission():
+    """Pipelined requests carry the same ack several times."""
+    sent = []
+    stream = output_stream.OutputStream(
+        lambda *segment: sent.append(segment), manual_clock.ManualClock()
+    )
+    stream.write(b'abc')
+    for _ in range(output_stream.DUPLICATE_ACKS_FOR_RETRANSMISSION):
+        stream.on_ack(0, is_pure=False)
+    assert len(sent) == 1
+    for _ in range(output_stream.DUPLICATE_ACKS_FOR_RETRANSMISSION):
+        stream.on_ack(0)
+    assert len(sent) == 2
