Keep idempotency keys whole and move request making to its own module

Cause: a key was cut to 255 bytes, so that two long keys with the same start were one key; the check for 400 in the keyed runner could never fire. Ruled out: a longer cut; the head is bounded to 16 KB in any case. Change: the whole key is passed on; connections/request_factory.py.

--- a/packages/connections/src/kingcupport/connections/connection.py
+++ b/packages/connections/src/kingcupport/connections/connection.py
@@ -9,14 +9,10 @@
 from kingcupport.connections import input_stream
 from kingcupport.connections import output_stream
 from kingcupport.connections import pending_request
+from kingcupport.connections import request_factory
 from kingcupport.requests import answer as answer_module
-from kingcupport.requests import request as request_module
 from kingcupport.wire import packet as packet_module
 
-TIMEOUT_HEADER = b'kingcupport-timeout-ms'
-IDEMPOTENCY_HEADER = b'idempotency-key'
-MAX_TIMEOUT_MS = 600_000
-MAX_KEY_BYTES = 255
 MAX_INBOX_PACKETS = 1024
 # An idle caller's only packet may be its confirmation; if that is lost, the
 # connection would end as half-open and break.
@@ -290,19 +286,11 @@
         pending.start(self._runner, self._wake.set)
 
     def _make_request(self, parsed):
-        headers = dict(parsed.headers)
-        timeout_ms = _parse_timeout(
-            headers.get(TIMEOUT_HEADER), self._limits.default_timeout_ms
-        )
-        key = headers.get(IDEMPOTENCY_HEADER, b'')[:MAX_KEY_BYTES]
-        return request_module.Request(
-            request_id=self._make_request_id(),
-            method=parsed.method,
-            target=parsed.target,
-            headers=parsed.headers,
-            body=parsed.body,
-            idempotency_key=key.decode('latin-1'),
-            deadline_ms=self._clock.monotonic_ms() + timeout_ms,
+        return request_factory.make_request(
+            parsed,
+            self._make_request_id(),
+            self._limits.default_timeout_ms,
+            self._clock.monotonic_ms(),
         )
 
     def _refuse_bytes(self, error):
@@ -395,9 +383,3 @@
                 identity.return_address,
             )
         )
-
-
-def _parse_timeout(value, default_timeout_ms):
-    if value is None or not value.isdigit() or len(value) > 9:
-        return default_timeout_ms
-    return min(max(int(value), 1), MAX_TIMEOUT_MS)
