Let idle agents pause longer between offers of their slots

Cause: an idle agent sent two offers each 250 ms and three load reports each 500 ms, 5,175 B/s sent and received with headers among eleven agents, above the 4 KB/s that a node may spend for control. Ruled out: fewer load reports; placement and rebalancing need them fresh.

--- a/packages/requests/src/kingcupport/requests/idle_peers.py
+++ b/packages/requests/src/kingcupport/requests/idle_peers.py
@@ -11,7 +11,7 @@
 # Time that a transfer takes at most between two data centres of a service.
 TRANSFER_MS = 5
 FIRST_PAUSE_MS = 2
-MAX_PAUSE_MS = 250
+MAX_PAUSE_MS = 1000
 
 
 @attrs.frozen
