--- a/tests/fault_bed.py
+++ b/packages/standins/src/kingcupport/standins/fault_bed.py
@@ -1,4 +1,4 @@
-"""Runs a small deployment as processes, under load, for the fault tests."""
+"""Runs a small deployment as processes, under load, for fault tests."""
 
 import random
 
@@ -7,7 +7,6 @@
 from kingcupport.common import clock as clock_module
 from kingcupport.standins import deployment as deployment_module
 from kingcupport.standins import deployment_shape
-from kingcupport.standins import json_client
 from kingcupport.standins import load_plan
 from kingcupport.standins import load_run
 from kingcupport.standins import loopback_ports
@@ -16,8 +15,6 @@
 START_TIMEOUT_MS = 30_000
 # Limit of docs/design.md 1.3 for a note to be in force everywhere.
 IN_FORCE_LIMIT_MS = 15_000
-# After that a withdrawn backend server gets no new work (design.md 1.3).
-NO_NEW_WORK_AFTER_MS = 3_000
 SEED = 20261204
 
 SHAPE = deployment_shape.DeploymentShape(
@@ -113,30 +110,3 @@
         """Return the value of a metric of a process, by its short name."""
         kind = 'agent' if member.service else 'balancer'
         return member.probe().metrics()[f'kingcupport_{kind}_{name}']
-
-
-def sleep_ms(duration_ms):
-    """Wait while the load goes on."""
-    gevent.sleep(duration_ms / 1000)
-
-
-def assert_safe(report):
-    """Check what must hold under any fault, broken connections aside."""
-    errors = report.first_errors
-    assert report.answered > 0, errors
-    assert report.wrong == 0, errors
-    assert report.run_twice == 0, errors
-    assert report.ran_after_not_run == 0, errors
-    assert report.runs_not_read == 0, errors
-
-
-def assert_unharmed(report):
-    """Check that no caller noticed the change."""
-    assert_safe(report)
-    assert report.connections_broken == 0, report.first_errors
-    assert report.lost == 0, report.first_errors
-
-
-def call_json(address, method, path):
-    """Call an HTTP control port of a stand-in."""
-    return json_client.call(address, method, path)
--- /dev/null
+++ b/tests/fault_support.py
@@ -0,0 +1,33 @@
+"""What the fault tests share: limits and what must hold."""
+
+import gevent
+
+from kingcupport.standins import fault_bed
+
+START_TIMEOUT_MS = fault_bed.START_TIMEOUT_MS
+IN_FORCE_LIMIT_MS = fault_bed.IN_FORCE_LIMIT_MS
+SEED = fault_bed.SEED
+# After that a withdrawn backend server gets no new work (design.md 1.3).
+NO_NEW_WORK_AFTER_MS = 3_000
+
+
+def sleep_ms(duration_ms):
+    """Wait while the load goes on."""
+    gevent.sleep(duration_ms / 1000)
+
+
+def assert_safe(report):
+    """Check what must hold under any fault, broken connections aside."""
+    errors = report.first_errors
+    assert report.answered > 0, errors
+    assert report.wrong == 0, errors
+    assert report.run_twice == 0, errors
+    assert report.ran_after_not_run == 0, errors
+    assert report.runs_not_read == 0, errors
+
+
+def assert_unharmed(report):
+    """Check that no caller noticed the change."""
+    assert_safe(report)
+    assert report.connections_broken == 0, report.first_errors
+    assert report.lost == 0, report.first_errors
--- a/tests/faults/conftest.py
+++ b/tests/faults/conftest.py
@@ -1,8 +1,9 @@
 """Starts one deployment for each fault test."""
 
-import fault_bed
 import pytest
 
+from kingcupport.standins import fault_bed
+
 
 @pytest.fixture
 def bed(tmp_path):
--- a/tests/faults/test_fault_pairs.py
+++ b/tests/faults/test_fault_pairs.py
@@ -1,6 +1,6 @@
 """Guards the promises when two faults come together."""
 
-import fault_bed
+import fault_support
 
 from kingcupport.standins import json_client
 
@@ -22,12 +22,12 @@
         rate_per_s=60,
         service_time_ms=20,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     leaving = bed.members('ticketing')[0]
     bed.group.terminate(leaving.name)
     bed.group.kill(bed.members('')[0].name)
     report = bed.finish_load()
-    fault_bed.assert_unharmed(report)
+    fault_support.assert_unharmed(report)
     assert bed.group.wait(leaving.name, 30_000) == 0
 
 
@@ -41,9 +41,9 @@
         keyed_percent=50,
         unkeyed_percent=10,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     bed.group.kill(bed.members('ticketing')[0].name)
-    fault_bed.assert_safe(bed.finish_load())
+    fault_support.assert_safe(bed.finish_load())
 
 
 def test_agent_restarts_while_another_is_paused(bed):
@@ -54,14 +54,14 @@
         rate_per_s=60,
         keyed_percent=60,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     restarted, paused, *_ = bed.members('ticketing')
     bed.group.pause(paused.name)
     bed.group.kill(restarted.name)
     bed.deployment.start_member_process(restarted)
-    fault_bed.sleep_ms(3_000)
+    fault_support.sleep_ms(3_000)
     bed.group.resume(paused.name)
-    fault_bed.assert_safe(bed.finish_load())
+    fault_support.assert_safe(bed.finish_load())
 
 
 def test_note_comes_while_a_balancer_dies_and_an_agent_is_paused(bed):
@@ -72,15 +72,15 @@
         rate_per_s=60,
         keyed_percent=40,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     leaving, paused, *_ = bed.members('ticketing')
     bed.group.pause(paused.name)
     bed.group.kill(bed.members('')[0].name)
     bed.deployment.publish({'withdrawn': {'backend_servers': [leaving.name]}})
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     bed.group.resume(paused.name)
-    fault_bed.sleep_ms(fault_bed.NO_NEW_WORK_AFTER_MS)
+    fault_support.sleep_ms(fault_support.NO_NEW_WORK_AFTER_MS)
     runs_then = bed.deployment.runs_of(leaving)
     report = bed.finish_load()
-    fault_bed.assert_safe(report)
+    fault_support.assert_safe(report)
     assert bed.deployment.runs_of(leaving) == runs_then
--- a/tests/faults/test_new_connections.py
+++ b/tests/faults/test_new_connections.py
@@ -3,7 +3,7 @@
 Each request uses a connection of its own, so that every OPEN meets the fault.
 """
 
-import fault_bed
+import fault_support
 import gevent
 from gevent import pool
 import geventhttpclient
@@ -90,7 +90,7 @@
     balancer = bed.members('')[0]
     bed.group.pause(balancer.name)
     _withdraw_agent(bed)
-    fault_bed.sleep_ms(1_000)
+    fault_support.sleep_ms(1_000)
     bed.group.resume(balancer.name)
 
 
@@ -112,7 +112,7 @@
 def test_every_open_is_served(bed, fault):
     callers = _Callers(bed)
     task = gevent.spawn(callers.run)
-    fault_bed.sleep_ms(FAULT_AFTER_MS)
+    fault_support.sleep_ms(FAULT_AFTER_MS)
     fault(bed)
     task.get()
     assert callers.failures_ms == []
@@ -121,7 +121,7 @@
 def test_opens_are_served_soon_after_an_agent_died(bed):
     callers = _Callers(bed)
     task = gevent.spawn(callers.run)
-    fault_bed.sleep_ms(FAULT_AFTER_MS)
+    fault_support.sleep_ms(FAULT_AFTER_MS)
     _kill_agent(bed)
     task.get()
     recovered_ms = FAULT_AFTER_MS + RECOVERY_MS
@@ -135,7 +135,7 @@
     victim = bed.members('ticketing')[0]
     callers = _Callers(bed)
     task = gevent.spawn(callers.run)
-    fault_bed.sleep_ms(FAULT_AFTER_MS)
+    fault_support.sleep_ms(FAULT_AFTER_MS)
     bed.group.pause(victim.name)
     json_client.call(
         bed.deployment.configuration_address,
--- a/tests/faults/test_planned_change.py
+++ b/tests/faults/test_planned_change.py
@@ -1,6 +1,6 @@
 """Guards against callers that notice a planned change."""
 
-import fault_bed
+import fault_support
 
 
 def test_note_that_adds_changes_and_withdraws(bed):
@@ -10,7 +10,7 @@
     by the old fleet when it wakes.
     """
     bed.start_load(duration_ms=9_000, connections_count=60, rate_per_s=80)
-    fault_bed.sleep_ms(1_500)
+    fault_support.sleep_ms(1_500)
     deployment = bed.deployment
     first, second, *_ = bed.members('ticketing')
     stale, leaving, *_ = bed.members('')
@@ -30,15 +30,15 @@
             },
         }
     )
-    fault_bed.sleep_ms(1_000)
+    fault_support.sleep_ms(1_000)
     bed.group.resume(stale.name)
-    fault_bed.sleep_ms(fault_bed.NO_NEW_WORK_AFTER_MS - 1_000)
+    fault_support.sleep_ms(fault_support.NO_NEW_WORK_AFTER_MS - 1_000)
     runs_then = deployment.runs_of(first)
     deployment.wait_in_force(
-        fault_bed.IN_FORCE_LIMIT_MS - fault_bed.NO_NEW_WORK_AFTER_MS
+        fault_support.IN_FORCE_LIMIT_MS - fault_support.NO_NEW_WORK_AFTER_MS
     )
     report = bed.finish_load()
-    fault_bed.assert_unharmed(report)
+    fault_support.assert_unharmed(report)
     assert deployment.runs_of(first) == runs_then
     assert deployment.runs_of(new_server) > 0
     assert bed.metric(first, 'connections') == 0
@@ -53,18 +53,18 @@
         rate_per_s=40,
         service_time_ms=20,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     leaving = bed.members('ticketing')[0]
     bed.group.terminate(leaving.name)
     assert bed.group.wait(leaving.name, 15_000) == 0
     report = bed.finish_load()
-    fault_bed.assert_unharmed(report)
+    fault_support.assert_unharmed(report)
 
 
 def test_balancer_told_to_stop_is_not_noticed(bed):
     bed.start_load(duration_ms=5_000, connections_count=40, rate_per_s=60)
-    fault_bed.sleep_ms(1_500)
+    fault_support.sleep_ms(1_500)
     leaving = bed.members('')[0]
     bed.group.terminate(leaving.name)
     assert bed.group.wait(leaving.name, 10_000) == 0
-    fault_bed.assert_unharmed(bed.finish_load())
+    fault_support.assert_unharmed(bed.finish_load())
--- a/tests/faults/test_platform_faults.py
+++ b/tests/faults/test_platform_faults.py
@@ -2,7 +2,7 @@
 
 import random
 
-import fault_bed
+import fault_support
 import pytest
 
 from kingcupport.standins import json_client
@@ -36,24 +36,24 @@
     for member in others:
         bed.group.pause(member.name)
     bed.deployment.publish(_withdraw_nothing_note(bed))
-    deadline_ms = bed.clock.monotonic_ms() + fault_bed.IN_FORCE_LIMIT_MS
+    deadline_ms = bed.clock.monotonic_ms() + fault_support.IN_FORCE_LIMIT_MS
     bed.deployment.wait_until(
         lambda: reader.probe().revision() == 2, deadline_ms
     )
     _set_configuration_fault(bed, down=True)
     for member in others:
         bed.group.resume(member.name)
-    bed.deployment.wait_in_force(fault_bed.IN_FORCE_LIMIT_MS)
+    bed.deployment.wait_in_force(fault_support.IN_FORCE_LIMIT_MS)
 
 
 def test_stale_service_does_not_revert_a_fleet(bed):
     bed.deployment.publish(_withdraw_nothing_note(bed))
-    bed.deployment.wait_in_force(fault_bed.IN_FORCE_LIMIT_MS)
+    bed.deployment.wait_in_force(fault_support.IN_FORCE_LIMIT_MS)
     _set_configuration_fault(bed, stale_revision=1)
     victim = bed.members('audio')[1]
     bed.group.kill(victim.name)
     bed.deployment.start_member_process(victim)
-    deadline_ms = bed.clock.monotonic_ms() + fault_bed.START_TIMEOUT_MS
+    deadline_ms = bed.clock.monotonic_ms() + fault_support.START_TIMEOUT_MS
     bed.deployment.wait_until(victim.started, deadline_ms)
     # Ready means that peers were asked too, so the old fleet of the service
     # must not be in force in the restarted process.
@@ -63,7 +63,7 @@
 def test_requests_are_served_while_the_service_is_down(bed):
     _set_configuration_fault(bed, down=True)
     bed.start_load(duration_ms=3_000, connections_count=20, rate_per_s=50)
-    fault_bed.assert_unharmed(bed.finish_load())
+    fault_support.assert_unharmed(bed.finish_load())
 
 
 @pytest.mark.parametrize(
@@ -85,23 +85,23 @@
         unkeyed_percent=20,
         answer_bytes=8_000,
     )
-    fault_bed.assert_unharmed(bed.finish_load())
+    fault_support.assert_unharmed(bed.finish_load())
 
 
 def test_random_datagrams_end_no_process(bed):
     """Malformed input is counted and dropped while callers are served."""
     import gevent.socket
 
-    rng = random.Random(fault_bed.SEED)
+    rng = random.Random(fault_support.SEED)
     sock = gevent.socket.socket(type=gevent.socket.SOCK_DGRAM)
     bed.start_load(duration_ms=4_000, connections_count=20, rate_per_s=40)
     for _ in range(300):
         for member in bed.deployment.members.values():
             data = rng.randbytes(rng.randrange(200))
             sock.sendto(data, member.address.as_tuple())
-        fault_bed.sleep_ms(5)
+        fault_support.sleep_ms(5)
     sock.close()
-    fault_bed.assert_unharmed(bed.finish_load())
+    fault_support.assert_unharmed(bed.finish_load())
     for member in bed.deployment.members.values():
         assert bed.metric(member, 'malformed_total') > 0
 
@@ -134,7 +134,7 @@
             service, 1, '127.0.0.1:9', [], data
         )
         sock.sendto(envelope, agent.address.as_tuple())
-    fault_bed.sleep_ms(300)
+    fault_support.sleep_ms(300)
     sock.close()
     assert bed.metric(agent, 'wrong_service_total') == 2
     assert bed.metric(agent, 'connections') == 0
--- a/tests/faults/test_process_faults.py
+++ b/tests/faults/test_process_faults.py
@@ -1,14 +1,14 @@
 """Guards the promises against processes that die, pause or wake late."""
 
-import fault_bed
+import fault_support
 
 
 def test_balancer_dies(bed):
     """Only packets in flight are lost, and they are sent again."""
     bed.start_load(duration_ms=6_000, connections_count=40, rate_per_s=60)
-    fault_bed.sleep_ms(1_500)
+    fault_support.sleep_ms(1_500)
     bed.group.kill(bed.members('')[0].name)
-    fault_bed.assert_unharmed(bed.finish_load())
+    fault_support.assert_unharmed(bed.finish_load())
 
 
 def test_agent_dies(bed):
@@ -20,12 +20,12 @@
         keyed_percent=50,
         unkeyed_percent=20,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     victim = bed.members('ticketing')[0]
     owned = bed.metric(victim, 'connections')
     bed.group.kill(victim.name)
     report = bed.finish_load()
-    fault_bed.assert_safe(report)
+    fault_support.assert_safe(report)
     # A reset at once, never silence: nobody waited for a timeout.
     assert report.connections_broken <= owned
 
@@ -39,12 +39,12 @@
         keyed_percent=50,
         unkeyed_percent=20,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     victim = bed.members('ticketing')[0]
     bed.group.pause(victim.name)
-    fault_bed.sleep_ms(3_000)
+    fault_support.sleep_ms(3_000)
     bed.group.resume(victim.name)
-    fault_bed.assert_safe(bed.finish_load())
+    fault_support.assert_safe(bed.finish_load())
 
 
 def test_paused_agent_is_withdrawn_and_wakes(bed):
@@ -55,16 +55,16 @@
         rate_per_s=60,
         keyed_percent=50,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     victim = bed.members('ticketing')[0]
     bed.group.pause(victim.name)
     bed.deployment.publish({'withdrawn': {'backend_servers': [victim.name]}})
-    fault_bed.sleep_ms(4_000)
+    fault_support.sleep_ms(4_000)
     bed.group.resume(victim.name)
-    fault_bed.sleep_ms(fault_bed.NO_NEW_WORK_AFTER_MS)
+    fault_support.sleep_ms(fault_support.NO_NEW_WORK_AFTER_MS)
     runs_then = bed.deployment.runs_of(victim)
     report = bed.finish_load()
-    fault_bed.assert_safe(report)
+    fault_support.assert_safe(report)
     assert bed.deployment.runs_of(victim) == runs_then
 
 
@@ -76,11 +76,11 @@
         rate_per_s=60,
         keyed_percent=40,
     )
-    fault_bed.sleep_ms(1_500)
+    fault_support.sleep_ms(1_500)
     victim = bed.members('ticketing')[0]
     bed.group.kill(victim.server_process_name)
     report = bed.finish_load(left_out=(victim,))
-    fault_bed.assert_safe(report)
+    fault_support.assert_safe(report)
     assert report.connections_broken == 0, report.first_errors
 
 
@@ -92,8 +92,8 @@
         rate_per_s=60,
         keyed_percent=60,
     )
-    fault_bed.sleep_ms(2_000)
+    fault_support.sleep_ms(2_000)
     victim = bed.members('ticketing')[0]
     bed.group.kill(victim.name)
     bed.deployment.start_member_process(victim)
-    fault_bed.assert_safe(bed.finish_load())
+    fault_support.assert_safe(bed.finish_load())
