Drain an agent whose host a note moves to another service

Cause: the agent drained only when its host was withdrawn. A note that changed the host's service or agent address left its connections behind, and the packets of the new service that balancers sent to it were refused and lost until the agent was restarted. Ruled out: the handoff itself; the agent never started to drain. Change: losing the place in the service drains, whatever the note says; a refused packet is sent on to an agent of its own service. The expected mean of connections has a method of its own.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -166,7 +166,7 @@
             settings.name,
             settings.limits.placement_bound_percent,
             lambda: len(self._table),
-            self._loads.mean_connections,
+            self._loads.expected_mean_connections,
         )
         return data_path_module.DataPath(
             name=settings.name,
@@ -230,9 +230,8 @@
 
     def _on_accept(self, previous, fleet):
         self._data_path.set_fleet(fleet)
-        name = self._settings.name
-        was_member = name in previous.backend_servers
-        if was_member and name not in fleet.backend_servers:
+        was_member = not own_entry.has_moved(previous, self._settings)
+        if was_member and own_entry.has_moved(fleet, self._settings):
             self.audit.record('withdrawn', revision=fleet.revision)
             self.start_drain('withdrawn by a release note')
             gevent.spawn(self._finish_when_withdrawn)
--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -146,12 +146,15 @@
             )
         if envelope.service != self._service:
             self.counters.wrong_service += 1
+            packet = self._format.decode(envelope.packet_data)
+            self._return_to_service(envelope, packet)
             return
         packet = self._format.decode(envelope.packet_data)
         # Checked before a connection is made that could not answer.
         address.parse_address(packet.return_address)
         if self._is_for_other_service(packet):
             self.counters.wrong_service += 1
+            self._return_to_service(envelope, packet)
             return
         connection = self._table.get(packet.connection_id)
         is_open = packet.kind == _Kind.OPEN
@@ -175,6 +178,26 @@
         service = self.fleet.service_at(packet.service_address)
         return service is not None and service.name != self._service
 
+    def _return_to_service(self, envelope, packet):
+        """Send a misdirected packet to an agent of its own service.
+
+        Otherwise an agent whose host a note has moved to another service
+        would swallow that service's packets until it is restarted.
+        """
+        service = self.fleet.service_at(packet.service_address)
+        table = self._tables.table(service.name) if service else None
+        if table is None:
+            return
+        candidates = table.candidates(packet.connection_id, MAX_ASKED_AGENTS)
+        usable = (
+            self.fleet.backend_servers[name].agent_address.as_tuple()
+            for name in candidates
+            if name != self._name and name not in envelope.tried
+        )
+        destination = next(usable, None)
+        if destination is not None:
+            self._send_on(envelope, service.name, destination)
+
     def _on_open(self, envelope, packet):
         if self._is_repeated_open(envelope, packet):
             self._accept_open(envelope, packet)
@@ -274,15 +297,20 @@
             self._pass_on(envelope, next_name)
 
     def _pass_on(self, envelope, agent_name):
+        self._send_on(
+            envelope, envelope.service, self._agent_address(agent_name)
+        )
+
+    def _send_on(self, envelope, service_name, destination):
         self.counters.passed_on += 1
         data = datagrams.encode_envelope(
-            envelope.service,
+            service_name,
             envelope.revision,
             envelope.balancer_address,
             [*envelope.tried, self._name],
             envelope.packet_data,
         )
-        self._send(data, self._agent_address(agent_name))
+        self._send(data, destination)
 
     def _send_hint(self, envelope, connection_id):
         self.counters.hints_sent += 1
--- a/packages/agent/src/kingcupport/agent/own_entry.py
+++ b/packages/agent/src/kingcupport/agent/own_entry.py
@@ -24,3 +24,21 @@
     if differing:
         return 'the fleet and the settings differ in ' + ', '.join(differing)
     return ''
+
+
+def has_moved(fleet, settings):
+    """Return whether a note took this agent's place in its service away.
+
+    That is so when the host was withdrawn, or changed to another service or
+    agent address: callers then look for its connections elsewhere.
+
+    Args:
+        fleet: The Fleet in force.
+        settings: AgentSettings.
+    """
+    entry = fleet.backend_servers.get(settings.name)
+    return (
+        entry is None
+        or entry.service != settings.service
+        or entry.agent_address != settings.address
+    )
--- a/packages/agent/src/kingcupport/agent/placement.py
+++ b/packages/agent/src/kingcupport/agent/placement.py
@@ -23,18 +23,18 @@
         own_name: Name of this agent.
         bound_percent: How far the own count may exceed the mean.
         connection_count: Returns the number of connections owned.
-        mean_connections: Called with the number of new connections that
+        expected_mean: Called with the number of new connections that
             were passed on so far; returns the mean over the service's agents
             that this agent knows, or None.
     """
 
     def __init__(
-        self, own_name, bound_percent, connection_count, mean_connections
+        self, own_name, bound_percent, connection_count, expected_mean
     ):
         self._own_name = own_name
         self._bound_percent = bound_percent
         self._connection_count = connection_count
-        self._mean_connections = mean_connections
+        self._expected_mean = expected_mean
         self._passed_on = 0
 
     def decide(self, candidates, tried):
@@ -63,7 +63,7 @@
         return Placement.ACCEPT, None
 
     def _over_bound(self):
-        mean = self._mean_connections(self._passed_on)
+        mean = self._expected_mean(self._passed_on)
         if mean is None:
             return False
         limit = mean * (100 + self._bound_percent) / 100
--- a/packages/requests/src/kingcupport/requests/peer_loads.py
+++ b/packages/requests/src/kingcupport/requests/peer_loads.py
@@ -70,24 +70,31 @@
         """Return the own connection count."""
         return self._count_connections()
 
-    def mean_connections(self, passed_on=None):
-        """Return the mean count over this agent and its fresh peers.
+    def mean_connections(self):
+        """Return the mean count over this agent and its fresh peers."""
+        counts = [record.connections for record in self._fresh()]
+        counts.append(self._count_connections())
+        return sum(counts) / len(counts)
+
+    def expected_mean_connections(self, passed_on):
+        """Return the mean count with the peers' counts brought up to date.
+
+        In a burst the own count runs ahead of the reports, so each peer's
+        count is extrapolated from its last reports and from what was offered
+        to this agent since.
 
         Args:
             passed_on: New connections that this agent has passed on since
-                its start. If given, each peer's count is extrapolated from
-                its last reports and from what was offered to this agent
-                since: in a burst, the own count runs ahead of the reports.
+                its start.
         """
         own = self._count_connections()
-        gained = 0
-        counts = [own]
-        for record in self._fresh():
-            if passed_on is not None:
-                gained = max(0, own + passed_on - record.own_offered)
-            counts.append(record.connections + gained * record.gain_ratio)
-        if passed_on is not None:
-            self._passed_on = passed_on
+        self._passed_on = passed_on
+        counts = [
+            record.connections
+            + max(0, own + passed_on - record.own_offered) * record.gain_ratio
+            for record in self._fresh()
+        ]
+        counts.append(own)
         return sum(counts) / len(counts)
 
     def connections_by_peer(self):
--- a/tests/agent/test_data_path.py
+++ b/tests/agent/test_data_path.py
@@ -10,6 +10,7 @@
 
 from kingcupport.agent import data_path
 from kingcupport.common import address
+from kingcupport.fleet import backend_server
 from kingcupport.fleet import service as service_module
 from kingcupport.wire import datagrams
 from kingcupport.wire import packet as packet_module
@@ -214,6 +215,34 @@
     assert len(bed.agent.table) == 0
 
 
+def test_packet_of_another_service_returns_to_its_agents(bed):
+    """Guards against an agent that swallows the packets of a moved host."""
+    fleet = bed.simulation.fleet
+    audio = service_module.Service(
+        'audio', address.parse_address('10.0.0.2:80')
+    )
+    member = backend_server.BackendServer(
+        'audio-1',
+        'audio',
+        address.parse_address('10.0.0.9:7000'),
+        address.parse_address('10.0.0.9:8000'),
+        'dakar-plateau',
+    )
+    bed.agent.set_fleet(
+        attrs.evolve(
+            fleet,
+            services={**fleet.services, 'audio': audio},
+            backend_servers={**fleet.backend_servers, 'audio-1': member},
+        )
+    )
+    bed.deliver(_KIND.OPEN, service_address='10.0.0.2:80')
+    ((data, destination),) = bed.sent
+    assert destination == ('10.0.0.9', 7000)
+    assert datagrams.decode_datagram(data).service == 'audio'
+    assert datagrams.decode_datagram(data).tried == ['a']
+    assert len(bed.agent.table) == 0
+
+
 def test_bad_return_address_makes_no_connection(bed):
     """Guards against connections whose task fails on its first packet."""
     bed.deliver(_KIND.OPEN, return_address='nowhere')
--- a/tests/agent/test_own_entry.py
+++ b/tests/agent/test_own_entry.py
@@ -54,3 +54,20 @@
 def test_difference_is_named(changes, words):
     entry = attrs.evolve(_ENTRY, **changes)
     assert words in own_entry.mismatch(_make_fleet(entry), _SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'moved'),
+    [
+        ({}, False),
+        ({'weight': 7}, False),
+        ({'slots': 2}, False),
+        ({'name': 'gate-2'}, True),
+        ({'service': 'audio'}, True),
+        ({'agent_address': address.Address('127.0.0.1', 9003)}, True),
+    ],
+)
+def test_only_a_lost_place_makes_an_agent_drain(changes, moved):
+    """A note that moved a host to another service broke its connections."""
+    entry = attrs.evolve(_ENTRY, **changes)
+    assert own_entry.has_moved(_make_fleet(entry), _SETTINGS) is moved
--- a/tests/faults/test_planned_change.py
+++ b/tests/faults/test_planned_change.py
@@ -68,3 +68,19 @@
     bed.group.terminate(leaving.name)
     assert bed.group.wait(leaving.name, 10_000) == 0
     fault_support.assert_unharmed(bed.finish_load())
+
+
+def test_host_that_a_note_moves_to_another_service(bed):
+    """Its connections go to the agents that stay in the service."""
+    bed.start_load(duration_ms=6_000, connections_count=40, rate_per_s=60)
+    fault_support.sleep_ms(1_500)
+    moved = bed.members('ticketing')[0]
+    bed.deployment.publish(
+        {'changed': {'backend_servers': [moved.entry(service='audio')]}}
+    )
+    fault_support.sleep_ms(fault_support.NO_NEW_WORK_AFTER_MS)
+    runs_then = bed.deployment.runs_of(moved)
+    report = bed.finish_load()
+    fault_support.assert_unharmed(report)
+    assert bed.deployment.runs_of(moved) == runs_then
+    assert bed.metric(moved, 'handed_over_total') > 0
--- a/tests/handoff_simulation.py
+++ b/tests/handoff_simulation.py
@@ -159,7 +159,7 @@
                 name,
                 2,
                 lambda: len(self.table),
-                self.loads.mean_connections,
+                self.loads.expected_mean_connections,
             ),
             accept=self.factory.accept,
             suspects=self.suspects,
--- a/tests/placement_simulation.py
+++ b/tests/placement_simulation.py
@@ -64,7 +64,7 @@
                 name,
                 bound_percent,
                 self.tables[name].__len__,
-                self.loads[name].mean_connections,
+                self.loads[name].expected_mean_connections,
             )
             for name in self.names
         }
