--- a/bench/idle_memory.py
+++ b/bench/idle_memory.py
@@ -271,6 +271,7 @@
             lambda data, destination: None,
             hint_cache.HintCache(),
             (),
+            frozenset,
             lambda datagram, source: None,
             data_path_counters.DataPathCounters(),
         )
