Carry forwarded flows on the users' platform: the whole path, thin

Cause: on the platform a backend server ends the connections itself, and the product could only serve connections that its agents own.

--- a/bench/handoff.py
+++ b/bench/handoff.py
@@ -84,7 +84,7 @@
             place,
             agent.handlers,
             name=name,
-            keeper=agent.keeper,
+            read_revision=lambda: agent.keeper.fleet.revision,
             counts=self.counts,
         )
         server.start()
--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -0,0 +1,181 @@
+"""The agent of forwarded flows, as one process."""
+
+import logging
+
+import attrs
+import gevent
+from gevent import event
+
+from kingcupport.agent import flow_counters
+from kingcupport.agent import flow_data_path
+from kingcupport.observability import decision_log
+from kingcupport.observability import health as health_module
+from kingcupport.observability import probe_server
+from kingcupport.wire import datagram_socket
+
+LOG = logging.getLogger(__name__)
+
+# Opening packets are checked this often while any waits for the server; they
+# are given back after 60 ms.
+CHECK_MS = 20
+# Checks of a server that nothing waits for.
+IDLE_CHECK_MS = 500
+EXPIRY_INTERVAL_MS = 2_000
+# Copies of packets that are under way arrive meanwhile.
+QUIET_MS = 300
+
+
+class FlowAgent:
+    """Forwards packets between balancers, one server and clients.
+
+    Args:
+        settings: FlowAgentSettings.
+        clock: Clock.
+        rng: random.Random.
+        packet_format: FlowPacketFormat.
+
+    Attributes:
+        health: Health of the process.
+        finished: Event that is set when the process ends by itself.
+    """
+
+    def __init__(self, settings, clock, rng, packet_format):
+        self.health = health_module.Health()
+        self.finished = event.Event()
+        self.counters = flow_counters.FlowCounters()
+        self._settings = settings
+        self._clock = clock
+        self._tasks = []
+        self._opening = event.Event()
+        self._balancer_socket = datagram_socket.DatagramSocket(
+            settings.agent_address, _ignore_unreachable
+        )
+        self._server_socket = datagram_socket.DatagramSocket(
+            settings.outbound_address, self._on_unreachable
+        )
+        self.data_path = flow_data_path.FlowDataPath(
+            settings,
+            clock,
+            rng,
+            packet_format,
+            self.counters,
+            decision_log.make_decision_log(clock),
+            send_to_server=self._server_socket.send,
+            send_to_client=self._balancer_socket.send,
+            send_to_balancer=self._balancer_socket.send,
+            on_opening=self._opening.set,
+        )
+        self._probes = probe_server.ProbeServer(
+            settings.probe_address,
+            {
+                settings.ready_path: self._answer_ready,
+                '/metrics': self._answer_metrics,
+            },
+        )
+
+    def start(self):
+        """Start to forward packets.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        self._probes.start()
+        self._tasks = [
+            gevent.spawn(
+                self._balancer_socket.receive_forever,
+                self.data_path.on_balancer_datagram,
+            ),
+            gevent.spawn(
+                self._server_socket.receive_forever,
+                self.data_path.on_server_datagram,
+            ),
+            gevent.spawn(self._run_checks),
+            gevent.spawn(self._run_expiry),
+        ]
+        self.health.set_ready()
+        LOG.info(
+            'process started',
+            extra={
+                'program': 'agent',
+                'instance': self._settings.name,
+                'service': self._settings.service,
+                'server': str(self._settings.server_address),
+            },
+        )
+
+    def start_drain(self, reason):
+        """Take no new flows.
+
+        Args:
+            reason: One line for the log.
+        """
+        self.health.start_draining(reason)
+        self.data_path.leave()
+        LOG.info(
+            'stopping',
+            extra={
+                'reason': reason,
+                'flows': self.data_path.held.open_count,
+                'running': self.data_path.held.running,
+            },
+        )
+
+    def wait_drained(self):
+        """Block until no flow is open, or the grace period is nearly over."""
+        deadline_ms = self._clock.monotonic_ms() + self._settings.stop_after_ms
+        gevent.sleep(QUIET_MS / 1000)
+        while (
+            self.data_path.held.open_count
+            and self._clock.monotonic_ms() < deadline_ms
+        ):
+            gevent.sleep(CHECK_MS / 1000)
+
+    def stop(self):
+        """Stop all tasks and close the sockets."""
+        gevent.killall(self._tasks, block=False)
+        self._probes.stop()
+        self._balancer_socket.close()
+        self._server_socket.close()
+
+    def _on_unreachable(self, destination):
+        self.data_path.on_unreachable(destination)
+
+    def _run_checks(self):
+        while True:
+            if not self.data_path.held.has_opening():
+                self._opening.clear()
+                self._opening.wait(IDLE_CHECK_MS / 1000)
+            gevent.sleep(CHECK_MS / 1000)
+            self.data_path.check_server()
+
+    def _run_expiry(self):
+        while True:
+            gevent.sleep(EXPIRY_INTERVAL_MS / 1000)
+            self.data_path.held.drop_expired(self._settings.max_flow_ms)
+
+    def _answer_ready(self):
+        if self.health.ready:
+            return 200, 'ready\n'
+        return 503, f'{self.health.state}: {self.health.reason}\n'
+
+    def _answer_metrics(self):
+        # aioprometheus takes 2 MB, which only a process that is asked needs.
+        from kingcupport.observability import metrics as metrics_module
+
+        metrics = metrics_module.make_metrics('agent')
+        metrics.mirror_totals(lambda: attrs.asdict(self.counters))
+        metrics.mirror_gauges(self._gauges)
+        return 200, metrics.render()
+
+    def _gauges(self):
+        held = self.data_path.held
+        return {
+            'flows': len(held),
+            'flows_open': held.open_count,
+            'requests_running': held.running,
+            'answers_failing_percent': held.failing_percent(),
+        }
+
+
+def _ignore_unreachable(destination):
+    LOG.debug('balancer unreachable', extra={'ip': destination[0]})
--- /dev/null
+++ b/packages/agent/src/kingcupport/agent/flow_settings.py
@@ -0,0 +1,35 @@
+"""Settings of an agent that forwards flows."""
+
+import attrs
+
+from kingcupport.common import address
+
+
+@attrs.define
+class FlowAgentSettings:
+    """What an agent knows when it starts.
+
+    Args:
+        name: Name of the instance.
+        service: Name of the service of its backend server.
+        agent_address: UDP address that takes datagrams of balancers.
+        outbound_address: UDP address that takes the server's packets.
+        server_address: UDP address of the server.
+        probe_address: HTTP address of readiness and metrics.
+        ready_path: Path of the readiness probe.
+        is_first_start: Whether the server started together with the agent
+            and holds no older flows.
+        max_flow_ms: A flow older than this may be dropped.
+        stop_after_ms: How long a stopping agent forwards packets at most.
+    """
+
+    name: str
+    service: str
+    agent_address: address.Address
+    outbound_address: address.Address
+    server_address: address.Address
+    probe_address: address.Address
+    ready_path: str
+    is_first_start: bool = False
+    max_flow_ms: int = 60_000
+    stop_after_ms: int = 4_500
--- /dev/null
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -0,0 +1,240 @@
+"""The balancer of forwarded flows, as one process."""
+
+import collections
+import logging
+
+import attrs
+import gevent
+from gevent import event
+
+from kingcupport.balancer import flow_counters
+from kingcupport.balancer import flow_data_path
+from kingcupport.balancer import flow_sync
+from kingcupport.common import errors
+from kingcupport.control import peer_pool
+from kingcupport.control import peer_server
+from kingcupport.flows import fleet_view
+from kingcupport.flows import reader_turn
+from kingcupport.observability import decision_log
+from kingcupport.observability import health as health_module
+from kingcupport.observability import probe_server
+from kingcupport.wire import datagram_socket
+from kingcupport.wire import flow_datagrams
+from kingcupport.wire import flow_messages
+
+LOG = logging.getLogger(__name__)
+
+# Openings and searches are checked this often while there are any; they are
+# given up after 60 to 100 ms.
+CHECK_MS = 20
+EXPIRY_INTERVAL_MS = 2_000
+
+
+class FlowBalancer:
+    """Forwards packets from clients to the agents of their flows.
+
+    Args:
+        settings: FlowBalancerSettings.
+        clock: Clock.
+        rng: random.Random.
+        packet_format: FlowPacketFormat.
+        source: FleetSource.
+
+    Attributes:
+        health: Health of the process.
+        finished: Event that is set when the process ends by itself.
+    """
+
+    def __init__(self, settings, clock, rng, packet_format, source):
+        self.health = health_module.Health()
+        self.finished = event.Event()
+        self.counters = flow_counters.FlowCounters()
+        self.view = fleet_view.make_fleet_view(clock)
+        self._settings = settings
+        self._clock = clock
+        self._tasks = []
+        self._peer_counts = collections.Counter()
+        self._source = source
+        self._client_socket = datagram_socket.DatagramSocket(
+            settings.packet_address, _ignore_unreachable
+        )
+        self._peer_socket = datagram_socket.DatagramSocket(
+            settings.peer_address, self._on_unreachable
+        )
+        self._turn = reader_turn.make_reader_turn(
+            clock, rng, settings.name, self.view
+        )
+        self._pool = peer_pool.PeerPool(None, clock, self._peer_counts)
+        self.sync = flow_sync.FlowSync(
+            settings,
+            clock,
+            rng,
+            self.view,
+            self._turn,
+            source,
+            self._pool,
+            self.counters,
+            self._peer_socket.send,
+        )
+        self.data_path = flow_data_path.FlowDataPath(
+            settings,
+            clock,
+            packet_format,
+            self.view,
+            self.counters,
+            decision_log.make_decision_log(clock),
+            send_to_client=self._client_socket.send,
+            send_to_agent=self._peer_socket.send,
+        )
+        self.view.on_change(self._on_view_change)
+        self._peer_server = peer_server.PeerServer(
+            settings.peer_address,
+            {flow_messages.ViewRequest: self.sync.answer_view_request},
+            name=settings.name,
+            read_revision=lambda: self.view.configuration.version,
+            counts=self._peer_counts,
+        )
+        self._probes = probe_server.ProbeServer(
+            settings.probe_address,
+            {
+                settings.ready_path: self._answer_ready,
+                '/metrics': self._answer_metrics,
+            },
+        )
+
+    def start(self):
+        """Start to learn the fleet and to forward packets.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        self._probes.start()
+        self._peer_server.start()
+        loops = (
+            lambda: self._client_socket.receive_forever(
+                self.data_path.on_client_datagram
+            ),
+            lambda: self._peer_socket.receive_forever(self._on_peer_datagram),
+            self.sync.run_reader,
+            self.sync.run_greetings,
+            self.sync.run_puller,
+            self._run_checks,
+            self._run_expiry,
+        )
+        self._tasks = [
+            gevent.spawn(flow_sync.run_forever, loop) for loop in loops
+        ]
+        LOG.info(
+            'process started',
+            extra={'program': 'balancer', 'instance': self._settings.name},
+        )
+
+    def start_drain(self, reason):
+        """Report not ready and tell the peers.
+
+        Args:
+            reason: One line for the log.
+        """
+        self.health.start_draining(reason)
+        self.sync.is_leaving = True
+        self.sync.greet()
+        LOG.info(
+            'stopping', extra={'reason': reason, 'flows': self._flow_count()}
+        )
+
+    def wait_drained(self):
+        """Block until the routers send packets to other balancers."""
+        self._clock.sleep_until(
+            self._clock.monotonic_ms() + self._settings.stop_after_ms
+        )
+
+    def stop(self):
+        """Stop all tasks and close the sockets."""
+        gevent.killall(self._tasks, block=False)
+        self._probes.stop()
+        self._peer_server.stop()
+        self._pool.close()
+        self._source.close()
+        self._client_socket.close()
+        self._peer_socket.close()
+
+    def _flow_count(self):
+        return len(self.data_path.table)
+
+    def _on_peer_datagram(self, data, source):
+        try:
+            datagram = flow_datagrams.decode(data)
+        except errors.KingcupportError:
+            self.counters.peer_datagrams_malformed += 1
+            return
+        if isinstance(datagram, flow_datagrams.BalancerGreeting):
+            self.sync.on_greeting(datagram, source[0])
+            self._update_ready()
+        else:
+            self.data_path.on_agent_datagram(datagram, source[0])
+
+    def _on_unreachable(self, destination):
+        self.data_path.on_unreachable(destination)
+
+    def _on_view_change(self, kind, fields):
+        LOG.info(
+            'audit',
+            extra={
+                'audit_kind': kind,
+                'view_revision': self.view.content_revision,
+                **fields,
+            },
+        )
+        if kind == 'server_changed':
+            self.sync.greet_agents_now([fields['ip']])
+        self._update_ready()
+
+    def _update_ready(self):
+        if self.view.is_known and not self.health.ready:
+            self.health.set_ready()
+
+    def _run_checks(self):
+        while True:
+            gevent.sleep(CHECK_MS / 1000)
+            self.data_path.check_openings()
+            self.data_path.check_searches()
+            self.sync.greet_agents(
+                self.data_path.loads, self.data_path.agent_ips
+            )
+
+    def _run_expiry(self):
+        while True:
+            gevent.sleep(EXPIRY_INTERVAL_MS / 1000)
+            self.data_path.drop_expired()
+
+    def _answer_ready(self):
+        if self.health.ready:
+            return 200, 'ready\n'
+        return 503, f'{self.health.state}: {self.health.reason}\n'
+
+    def _answer_metrics(self):
+        # aioprometheus takes 2 MB, which only a process that is asked needs.
+        from kingcupport.observability import metrics as metrics_module
+
+        metrics = metrics_module.make_metrics('balancer')
+        metrics.mirror_totals(lambda: attrs.asdict(self.counters))
+        metrics.mirror_gauges(self._gauges)
+        return 200, metrics.render()
+
+    def _gauges(self):
+        age_ms = self.view.age_ms()
+        return {
+            'flows': self._flow_count(),
+            'searches_open': len(self.data_path.searches),
+            'servers': len(self.view.servers),
+            'configuration_version': self.view.configuration.version,
+            'view_age_ms': -1 if age_ms is None else age_ms,
+            'datagrams_dropped': (
+                self._client_socket.dropped_count
+                + self._peer_socket.dropped_count
+            ),
+        }
+
+
+def _ignore_unreachable(destination):
+    LOG.debug('client unreachable', extra={'ip': destination[0]})
--- a/packages/control/src/kingcupport/control/control_plane.py
+++ b/packages/control/src/kingcupport/control/control_plane.py
@@ -123,7 +123,7 @@
         address,
         {**own_handlers.by_message_class(), **(handlers or {})},
         name=name,
-        keeper=keeper,
+        read_revision=lambda: keeper.fleet.revision,
         counts=counts,
     )
     pool.on_revision(spreader.on_revision_seen)
--- a/packages/control/src/kingcupport/control/peer_pool.py
+++ b/packages/control/src/kingcupport/control/peer_pool.py
@@ -35,7 +35,8 @@
     """Calls peers; a stream carries one call at a time.
 
     Args:
-        keeper: FleetKeeper that resolves names.
+        keeper: FleetKeeper that resolves names; None where only addresses
+            are called.
         clock: Clock for deadlines.
         counts: collections.Counter of the process.
     """
--- a/packages/control/src/kingcupport/control/peer_server.py
+++ b/packages/control/src/kingcupport/control/peer_server.py
@@ -37,7 +37,7 @@
             is the ``ip:port`` of the other side. A KingcupportError becomes
             an ErrorReply.
         name: Name of this process, for error replies.
-        keeper: FleetKeeper, for the revision in error replies.
+        read_revision: Returns the revision in force, for error replies.
         counts: collections.Counter of the process.
         max_connections: Further connections are closed at once.
         idle_timeout_ms: Time that the next message may take to arrive.
@@ -49,7 +49,7 @@
         handlers,
         *,
         name,
-        keeper,
+        read_revision,
         counts,
         max_connections=MAX_CONNECTIONS,
         idle_timeout_ms=IDLE_TIMEOUT_MS,
@@ -57,7 +57,7 @@
         self._address = address
         self._handlers = dict(handlers)
         self._name = name
-        self._keeper = keeper
+        self._read_revision = read_revision
         self._counts = counts
         self._max_connections = max_connections
         self._idle_timeout_ms = idle_timeout_ms
@@ -177,7 +177,7 @@
 
     def _error_reply(self, code, reason):
         return control_messages.ErrorReply(
-            self._name, self._keeper.fleet.revision, code, reason
+            self._name, self._read_revision(), code, reason
         )
 
 
--- /dev/null
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -0,0 +1,280 @@
+"""The routes and backend servers that a balancer works with."""
+
+import collections
+
+import attrs
+
+from kingcupport.flows import flow_route
+from kingcupport.flows import flow_server
+
+# Removals that differences to peers are computed from; the planned size has
+# 910 changes a day.
+MAX_TOMBSTONES = 1024
+# A view that the source has not confirmed for so long has missed more than
+# one reading: entries may have lapsed meanwhile.
+OUTAGE_MS = 2_500
+# Servers whose entries lapsed during an outage of the source write them again
+# within about 2,000 ms of its return.
+RETURN_GRACE_MS = 2_000
+
+
+@attrs.define
+class _Departure:
+    revision: int
+    deadline_ms: float
+
+
+class FleetView:
+    """The newest routes and servers from any source.
+
+    Entries are ordered by the revision at which the store took them, so that
+    neither a late reading nor a peer that is behind takes an entry back.
+
+    Args:
+        clock: Clock.
+
+    Attributes:
+        configuration: FlowConfiguration in force.
+        servers: FlowServer by name.
+        content_revision: Grows with each change of a server.
+        read_revision: Revision of the store that the view is complete to.
+        confirmed_ms: When the store confirmed the view, on the monotonic
+            clock; None before the first time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.configuration = flow_route.EMPTY_CONFIGURATION
+        self.servers = {}
+        self.content_revision = 0
+        self.read_revision = 0
+        self.confirmed_ms = None
+        self._tombstones = collections.OrderedDict()
+        self._oldest_tombstone_revision = 0
+        self._departures = {}
+        self._settled_ms = 0.0
+        self._callbacks = []
+
+    def on_change(self, callback):
+        """Call ``callback(kind, fields)`` for each change that is accepted.
+
+        Args:
+            callback: Takes the kind of the change and a dict of its fields.
+        """
+        self._callbacks.append(callback)
+
+    @property
+    def is_known(self):
+        """Whether routes and at least one server are known."""
+        return self.configuration.version > 0 and bool(self.servers)
+
+    def age_ms(self):
+        """Return how long ago the store confirmed the view, in ms.
+
+        Returns:
+            Milliseconds, or None before the first confirmation.
+        """
+        if self.confirmed_ms is None:
+            return None
+        return self._clock.monotonic_ms() - self.confirmed_ms
+
+    def apply_reading(self, reading, started_ms):
+        """Merge what the source returned.
+
+        Args:
+            reading: FleetReading.
+            started_ms: When the reading began, on the monotonic clock.
+
+        Returns:
+            Whether anything but revisions changed.
+        """
+        before = (self.configuration.version, self.content_revision)
+        self._note_outage()
+        if reading.configuration is not None:
+            self.apply_configuration(reading.configuration)
+        for server in reading.servers:
+            self._put(server, reading.revision)
+        for name, revision in reading.removed:
+            self._remove_later(name, revision)
+        for name in reading.unusable_names:
+            self._remove(name, reading.revision)
+        if reading.is_whole:
+            self._remove_missing(reading)
+        self._finish_departures()
+        self.confirm(started_ms, reading.revision)
+        return before != (self.configuration.version, self.content_revision)
+
+    def apply_configuration(self, configuration):
+        """Take a configuration into force if it is newer.
+
+        Args:
+            configuration: FlowConfiguration from any source.
+        """
+        if configuration.version <= self.configuration.version:
+            return
+        previous = self.configuration
+        self.configuration = configuration
+        self._notify(
+            'configuration_accepted',
+            version=configuration.version,
+            previous_version=previous.version,
+            added_routes=len(configuration.routes.keys() - previous.routes),
+            removed_routes=len(previous.routes.keys() - configuration.routes),
+        )
+
+    def apply_difference(self, plain):
+        """Merge what a peer's ``difference_since`` returned.
+
+        Args:
+            plain: Lists from the peer.
+
+        Raises:
+            ValueError: The lists have another shape.
+            TypeError: The lists have another shape.
+        """
+        configuration, servers, removed, revision = plain
+        if configuration:
+            self.apply_configuration(
+                flow_route.configuration_from_plain(configuration)
+            )
+        for item in servers:
+            self._put(flow_server.server_from_plain(item), revision)
+        for name, removed_revision in removed:
+            self._remove(name, removed_revision)
+        self.content_revision = max(self.content_revision, revision)
+
+    def difference_since(self, version, revision):
+        """Return what a peer lacks, as lists that msgpack encodes.
+
+        Args:
+            version: Version of the configuration at the peer.
+            revision: Content revision of the peer.
+        """
+        is_whole = revision < self._oldest_tombstone_revision
+        servers = [
+            flow_server.server_to_plain(server)
+            for server in self.servers.values()
+            if is_whole or server.revision > revision
+        ]
+        removed = [
+            [name, removed_revision]
+            for name, removed_revision in self._tombstones.items()
+            if removed_revision > revision
+        ]
+        configuration = (
+            flow_route.configuration_to_plain(self.configuration)
+            if self.configuration.version > version
+            else None
+        )
+        return [configuration, servers, removed, self.content_revision]
+
+    def confirm(self, confirmed_ms, read_revision):
+        """Note that the store held this view.
+
+        Args:
+            confirmed_ms: When it did, on the monotonic clock.
+            read_revision: Revision of the store at that time.
+        """
+        self.read_revision = max(self.read_revision, read_revision)
+        if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
+            self.confirmed_ms = confirmed_ms
+
+    def _note_outage(self):
+        age_ms = self.age_ms()
+        if age_ms is not None and age_ms > OUTAGE_MS:
+            self._settled_ms = self._clock.monotonic_ms() + RETURN_GRACE_MS
+
+    def _put(self, server, revision):
+        known = self.servers.get(server.name)
+        known_revision = (
+            known.revision
+            if known is not None
+            else self._tombstones.get(server.name, -1)
+        )
+        if server.revision <= known_revision:
+            return
+        self._departures.pop(server.name, None)
+        if known is not None and not server.differs_from(known):
+            # Only its heartbeat has moved on. The revision is kept, because
+            # peers compute differences from it.
+            return
+        self.servers[server.name] = server
+        self._tombstones.pop(server.name, None)
+        self.content_revision = max(
+            self.content_revision, server.revision, revision
+        )
+        self._notify(
+            'server_changed',
+            server=server.name,
+            service=server.service,
+            ip=server.ip,
+            draining=server.is_draining,
+            boot_utc_ms=server.boot_utc_ms,
+            revision=server.revision,
+        )
+
+    def _remove_missing(self, reading):
+        present = {server.name for server in reading.servers}
+        missing = [
+            server.name
+            for server in self.servers.values()
+            if server.name not in present
+            and server.revision <= reading.revision
+        ]
+        for name in missing:
+            self._remove_later(name, reading.revision)
+
+    def _remove_later(self, name, revision):
+        server = self.servers.get(name)
+        if server is None or revision <= server.revision:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if server.is_draining or now_ms >= self._settled_ms:
+            self._remove(name, revision)
+            return
+        self._departures.setdefault(
+            name, _Departure(revision, self._settled_ms)
+        )
+
+    def _finish_departures(self):
+        now_ms = self._clock.monotonic_ms()
+        due = [
+            (name, departure.revision)
+            for name, departure in self._departures.items()
+            if now_ms >= departure.deadline_ms
+        ]
+        for name, revision in due:
+            self._remove(name, revision)
+
+    def _remove(self, name, revision):
+        self._departures.pop(name, None)
+        server = self.servers.get(name)
+        if server is None or revision <= server.revision:
+            return
+        del self.servers[name]
+        self._tombstones[name] = revision
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            _, oldest = self._tombstones.popitem(last=False)
+            self._oldest_tombstone_revision = max(
+                oldest, self._oldest_tombstone_revision
+            )
+        self.content_revision = max(self.content_revision, revision)
+        self._notify(
+            'server_removed',
+            server=name,
+            service=server.service,
+            revision=revision,
+        )
+
+    def _notify(self, kind, **fields):
+        for callback in self._callbacks:
+            callback(kind, fields)
+
+
+def make_fleet_view(clock):
+    """Return an empty view.
+
+    Args:
+        clock: Clock.
+    """
+    return FleetView(clock)
--- /dev/null
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -0,0 +1,98 @@
+"""Chooses the backend server of a new flow.
+
+Answers the load of crests and stragglers: servers work on one or two requests
+at a time, and a short request behind a long one misses its target while other
+servers are idle.
+"""
+
+import xxhash
+
+# The penalties order servers whose queues differ; each is in requests that
+# wait in front of the new one.
+# A cold server takes 1.6 times as long for some seconds.
+COLD_PENALTY = 0.3
+# Traffic between data centres costs money and 0.3 ms.
+OTHER_DATA_CENTRE_PENALTY = 0.05
+# A server that fails every request is worse than a full queue of 10.
+FAILING_PENALTY_PER_PERCENT = 0.2
+# A request that has been running for longer is a straggler: the work of a
+# request is spread around its mean by half, and 3 percent take 7 times as
+# long.
+STRAGGLER_AGE_MS = 45
+STRAGGLER_PENALTY = 1.5
+
+
+class FlowPlacement:
+    """Chooses among the servers of a service.
+
+    Args:
+        clock: Clock.
+        loads: ServerLoads.
+        data_centre: Data centre of the balancer.
+    """
+
+    def __init__(self, clock, loads, data_centre):
+        self._clock = clock
+        self._loads = loads
+        self._data_centre = data_centre
+
+    def choose(self, flow, servers, tried=()):
+        """Return the server that is expected to answer a new flow first.
+
+        Args:
+            flow: The flow; it breaks ties, so that balancers which see the
+                same loads do not all choose the same server.
+            servers: FlowServer objects of the service.
+            tried: Names of the servers that have declined the flow.
+
+        Returns:
+            A FlowServer, or None when none can take the flow.
+        """
+        candidates = [
+            server
+            for server in servers
+            if not server.is_draining and server.name not in tried
+        ]
+        usable = [s for s in candidates if self._loads.is_usable(s.ip)]
+        # Agents that have not reported yet may have just started, or this
+        # balancer has.
+        pool = usable or [
+            s for s in candidates if not self._loads.get(s.ip).is_leaving
+        ]
+        if not pool:
+            return None
+        return min(pool, key=lambda server: self._rank(flow, server))
+
+    def has_free_slot(self, server):
+        """Whether a request would start at once at a server."""
+        return self._loads.running(server.ip) < server.slots
+
+    def _rank(self, flow, server):
+        draw = xxhash.xxh3_64_intdigest(server.name.encode() + flow)
+        return (self.cost(server), draw)
+
+    def cost(self, server):
+        """Return the expected wait at a server, in requests."""
+        load = self._loads.get(server.ip)
+        excess = self._loads.running(server.ip) - server.slots + 1
+        cost = max(0, excess) / server.slots
+        if excess > 0 and load.running:
+            age_ms = self._clock.monotonic_ms() - load.oldest_since_ms
+            if age_ms > STRAGGLER_AGE_MS:
+                cost += STRAGGLER_PENALTY / server.slots
+        if server.is_cold:
+            cost += COLD_PENALTY
+        if server.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_PENALTY
+        return cost + load.failing_percent * FAILING_PENALTY_PER_PERCENT
+
+
+def make_flow_placement(clock, loads, data_centre):
+    """Return the placement of one balancer.
+
+    Args:
+        clock: Clock.
+        loads: ServerLoads.
+        data_centre: Data centre of the balancer.
+    """
+    return FlowPlacement(clock, loads, data_centre)
--- /dev/null
+++ b/packages/flows/src/kingcupport/flows/flow_table.py
@@ -0,0 +1,142 @@
+"""Which agent each flow goes to, as one balancer knows it."""
+
+import collections
+
+import attrs
+
+# 4.6 million flows over 640 balancers are 7,200 each; the rest is room for a
+# balancer that takes over the flows of others.
+MAX_FLOWS = 65_536
+# A flow is kept so long after its client's last packet at least; copies of a
+# closing packet arrive up to 1,600 ms later.
+CLOSED_KEEP_MS = 3_000
+
+
+@attrs.define
+class FlowEntry:
+    """One flow.
+
+    Args:
+        flow: The flow.
+        service: Name of its service.
+        server_name: Name of the backend server that it goes to.
+        boot_utc_ms: Start of that server, to tell it from a later one.
+        ip: Address of the server's instance.
+        opened_ms: When this balancer first saw it, on the monotonic clock.
+        expires_ms: When it may be dropped, on the monotonic clock.
+        is_accepted: Whether a server is known to have accepted it.
+        is_closing: Whether its client has sent everything.
+        opening_data: Bytes of its opening packet until it is accepted.
+        tried: Names of the servers that did not accept it.
+    """
+
+    flow: bytes
+    service: str
+    server_name: str
+    boot_utc_ms: int
+    ip: str
+    opened_ms: float
+    expires_ms: float
+    is_accepted: bool = False
+    is_closing: bool = False
+    opening_data: bytes = b''
+    tried: tuple = ()
+
+
+class FlowTable:
+    """Flows by identity; the least recently used go first.
+
+    Args:
+        clock: Clock.
+        max_age_ms: A flow older than this may be dropped.
+        capacity: Greatest number of flows.
+    """
+
+    def __init__(self, clock, max_age_ms, capacity=MAX_FLOWS):
+        self._clock = clock
+        self._max_age_ms = max_age_ms
+        self._capacity = capacity
+        self._entries = collections.OrderedDict()
+        self.idle_timeout_ms = 60_000
+        self.evicted_count = 0
+
+    def __len__(self):
+        """Return the number of flows."""
+        return len(self._entries)
+
+    def __iter__(self):
+        """Iterate over the entries."""
+        return iter(list(self._entries.values()))
+
+    def get(self, flow):
+        """Return the entry of a flow and note its use, or return None."""
+        entry = self._entries.get(flow)
+        if entry is None:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        if now_ms >= entry.expires_ms:
+            del self._entries[flow]
+            return None
+        self._entries.move_to_end(flow)
+        keep_ms = CLOSED_KEEP_MS if entry.is_closing else self.idle_timeout_ms
+        entry.expires_ms = min(
+            now_ms + keep_ms, entry.opened_ms + self._max_age_ms
+        )
+        return entry
+
+    def put(self, flow, server, *, opening_data=b'', is_accepted=False):
+        """Send a flow to a server from now on.
+
+        Args:
+            flow: The flow.
+            server: FlowServer.
+            opening_data: Bytes of its opening packet.
+            is_accepted: Whether the server is known to hold it.
+
+        Returns:
+            The FlowEntry.
+        """
+        now_ms = self._clock.monotonic_ms()
+        known = self._entries.pop(flow, None)
+        entry = FlowEntry(
+            flow,
+            server.service,
+            server.name,
+            server.boot_utc_ms,
+            server.ip,
+            known.opened_ms if known is not None else now_ms,
+            now_ms + self.idle_timeout_ms,
+            is_accepted=is_accepted,
+            opening_data=opening_data,
+            tried=known.tried if known is not None else (),
+        )
+        self._entries[flow] = entry
+        if len(self._entries) > self._capacity:
+            self._entries.popitem(last=False)
+            self.evicted_count += 1
+        return entry
+
+    def forget(self, flow):
+        """Drop a flow, if it is there."""
+        self._entries.pop(flow, None)
+
+    def drop_expired(self):
+        """Drop the flows that are over; called every few seconds."""
+        now_ms = self._clock.monotonic_ms()
+        expired = [
+            flow
+            for flow, entry in self._entries.items()
+            if now_ms >= entry.expires_ms
+        ]
+        for flow in expired:
+            del self._entries[flow]
+
+
+def make_flow_table(clock, max_age_ms):
+    """Return an empty table.
+
+    Args:
+        clock: Clock.
+        max_age_ms: A flow older than this may be dropped.
+    """
+    return FlowTable(clock, max_age_ms)
--- /dev/null
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -0,0 +1,316 @@
+"""The flows of one backend server, as its agent sees their packets."""
+
+import collections
+
+import attrs
+
+from kingcupport.wire import flow_datagrams
+
+# A server holds at most 2,000 connections; twice that leaves room for flows
+# that have ended without a packet.
+MAX_HELD_FLOWS = 4_096
+# Share of failures is taken over so many answers.
+RECENT_ANSWERS = 16
+# Fewer answers say little about a server.
+MIN_RECENT_ANSWERS = 3
+# A server answers an opening packet in about 1 ms; its instance may be slow
+# or starting.
+OPEN_ANSWER_MS = 60
+# Sequence numbers wrap at 32 bits.
+_WRAP = 1 << 32
+_HALF_WRAP = 1 << 31
+FAILURE_STATUS = 500
+# Answers that promise that the request was not run; a full server is not a
+# faulty one.
+NOT_RUN_STATUSES = frozenset((421, 503))
+
+
+@attrs.define
+class HeldFlow:
+    """One flow.
+
+    Args:
+        balancer: ``(ip, port)`` that sent the client's last packet.
+        opened_ms: When the agent first saw it, on the monotonic clock.
+        used_ms: When it last carried a packet.
+        server_sequence: First sequence number of the server; None until the
+            server has accepted the flow.
+        sent_end: Sequence number after the last byte of the server.
+        running_since_ms: Since when a request has been in progress, or None.
+        is_held: Whether the server has sent a packet for it.
+        is_closed: Whether the server has sent everything, or reset it.
+        request_id: Id of the latest request, or None.
+        opening_data: Bytes of the opening packet until it is accepted.
+    """
+
+    balancer: tuple
+    opened_ms: float
+    used_ms: float
+    server_sequence: int | None = None
+    sent_end: int = 0
+    running_since_ms: float | None = None
+    is_held: bool = False
+    is_closed: bool = False
+    request_id: str | None = None
+    opening_data: bytes = b''
+
+
+class HeldFlows:
+    """Counts the work in progress and knows which flows the server holds.
+
+    Args:
+        clock: Clock.
+        max_age_ms: A flow older than this may have been dropped.
+        is_complete: Whether the server had no flow before the agent started.
+        capacity: Greatest number of flows.
+    """
+
+    def __init__(
+        self, clock, max_age_ms, *, is_complete, capacity=MAX_HELD_FLOWS
+    ):
+        self._clock = clock
+        self._max_age_ms = max_age_ms
+        self._capacity = capacity
+        self._complete_ms = (
+            0.0 if is_complete else clock.monotonic_ms() + max_age_ms
+        )
+        self._flows = collections.OrderedDict()
+        self._running = {}
+        self._opening = {}
+        self._answers = collections.deque(maxlen=RECENT_ANSWERS)
+        self.is_silent = False
+
+    def __len__(self):
+        """Return the number of flows."""
+        return len(self._flows)
+
+    @property
+    def running(self):
+        """Number of requests that the server has not answered."""
+        return len(self._running)
+
+    @property
+    def open_count(self):
+        """Number of flows that the server holds."""
+        return sum(
+            held.is_held and not held.is_closed
+            for held in self._flows.values()
+        )
+
+    def oldest_age_ms(self):
+        """Return how long the oldest request has been running, in ms."""
+        if not self._running:
+            return 0
+        oldest_ms = next(iter(self._running.values()))
+        return max(0, int(self._clock.monotonic_ms() - oldest_ms))
+
+    def failing_percent(self):
+        """Return the share of failures among the latest answers."""
+        if len(self._answers) < MIN_RECENT_ANSWERS:
+            return 0
+        return 100 * sum(self._answers) // len(self._answers)
+
+    def get(self, flow):
+        """Return the HeldFlow, or None."""
+        return self._flows.get(flow)
+
+    def on_client_packet(self, packet, data, balancer):
+        """Note a packet on its way to the server.
+
+        Args:
+            packet: FlowPacket.
+            data: Its bytes.
+            balancer: ``(ip, port)`` that sent it.
+
+        Returns:
+            The HeldFlow.
+        """
+        now_ms = self._clock.monotonic_ms()
+        held = self._flows.get(packet.flow)
+        if held is None or (packet.is_open and held.is_closed):
+            held = HeldFlow(balancer, now_ms, now_ms)
+            self._add(packet.flow, held)
+        held.balancer = balancer
+        held.used_ms = now_ms
+        if packet.is_open and held.server_sequence is None:
+            held.opening_data = data
+            self._opening.setdefault(packet.flow, now_ms + OPEN_ANSWER_MS)
+            self._start(packet.flow, held, now_ms)
+        elif packet.data_bytes:
+            self._start(packet.flow, held, now_ms)
+        elif packet.is_reset:
+            self._finish(packet.flow, held)
+        return held
+
+    def on_server_packet(self, packet, status):
+        """Note a packet of the server.
+
+        Args:
+            packet: FlowPacket.
+            status: HTTP status at the start of its data, or None.
+
+        Returns:
+            ``(HeldFlow, is_first_answer)``: whether the packet accepts the
+            flow for the first time.
+        """
+        now_ms = self._clock.monotonic_ms()
+        self.is_silent = False
+        held = self._flows.get(packet.flow)
+        if held is None:
+            # The agent has started after the flow.
+            held = HeldFlow(None, now_ms, now_ms)
+            self._add(packet.flow, held)
+        held.used_ms = now_ms
+        was_held = held.is_held
+        held.is_held = True
+        self._opening.pop(packet.flow, None)
+        held.opening_data = b''
+        self._note_sequence(held, packet)
+        if packet.data_bytes and held.running_since_ms is not None:
+            if status is not None:
+                self._answers.append(
+                    status >= FAILURE_STATUS and status not in NOT_RUN_STATUSES
+                )
+            self._finish(packet.flow, held)
+        if packet.is_close or packet.is_reset:
+            if packet.is_reset and held.running_since_ms is not None:
+                self._answers.append(True)
+            held.is_closed = True
+            self._finish(packet.flow, held)
+        return held, not was_held
+
+    def on_bounce(self, packet):
+        """Note a packet that the server gave back.
+
+        Returns:
+            ``(HeldFlow or None, DeclineReason)`` for the packet's balancer.
+        """
+        held = self._flows.get(packet.flow)
+        self.is_silent = False
+        if held is None:
+            return None, flow_datagrams.DeclineReason.NOT_HELD
+        self._opening.pop(packet.flow, None)
+        if packet.is_open:
+            self.forget(packet.flow)
+            return held, flow_datagrams.DeclineReason.UNAVAILABLE
+        reason = (
+            flow_datagrams.DeclineReason.ENDED
+            if held.is_held and self._is_mine(held, packet.acknowledged)
+            else flow_datagrams.DeclineReason.NOT_HELD
+        )
+        self.forget(packet.flow)
+        return held, reason
+
+    def holding(self, query):
+        """Return the Holding value for a FlowQuery."""
+        held = self._flows.get(query.flow)
+        if held is not None and held.is_held:
+            if self._is_mine(held, query.acknowledged):
+                return flow_datagrams.Holding.YES
+            if held.server_sequence is not None:
+                return flow_datagrams.Holding.NO
+        if self._clock.monotonic_ms() < self._complete_ms:
+            return flow_datagrams.Holding.UNKNOWN
+        return flow_datagrams.Holding.NO
+
+    def is_other_flow(self, packet):
+        """Whether a client's packet belongs to the flow of another server.
+
+        Two servers answer when copies of an opening packet reach both; the
+        client goes on with one of them.
+        """
+        held = self._flows.get(packet.flow)
+        return (
+            held is not None
+            and held.server_sequence is not None
+            and not packet.is_open
+            and not self._is_mine(held, packet.acknowledged)
+        )
+
+    def unanswered_opens(self):
+        """Return ``(flow, HeldFlow)`` that the server did not answer."""
+        now_ms = self._clock.monotonic_ms()
+        due = []
+        for flow, deadline_ms in self._opening.items():
+            if deadline_ms > now_ms:
+                break
+            due.append(flow)
+        return [
+            (flow, self._flows[flow]) for flow in due if flow in self._flows
+        ]
+
+    def has_opening(self):
+        """Whether an opening packet waits for the server's answer."""
+        return bool(self._opening)
+
+    def forget(self, flow):
+        """Drop a flow."""
+        held = self._flows.pop(flow, None)
+        self._opening.pop(flow, None)
+        if held is not None:
+            self._running.pop(flow, None)
+
+    def drop_expired(self, idle_timeout_ms):
+        """Drop the flows that are over.
+
+        Args:
+            idle_timeout_ms: A flow without a packet for longer is over.
+        """
+        now_ms = self._clock.monotonic_ms()
+        expired = [
+            flow
+            for flow, held in self._flows.items()
+            if now_ms - held.used_ms > idle_timeout_ms
+            or now_ms - held.opened_ms > self._max_age_ms
+        ]
+        for flow in expired:
+            self.forget(flow)
+
+    def _add(self, flow, held):
+        self.forget(flow)
+        self._flows[flow] = held
+        if len(self._flows) > self._capacity:
+            self.forget(next(iter(self._flows)))
+
+    def _start(self, flow, held, now_ms):
+        if held.running_since_ms is None and not held.is_closed:
+            held.running_since_ms = now_ms
+            self._running[flow] = now_ms
+
+    def _finish(self, flow, held):
+        held.running_since_ms = None
+        self._running.pop(flow, None)
+
+    def _is_mine(self, held, acknowledged):
+        if held.server_sequence is None:
+            # Seen in the middle; the server's own packets say that it holds
+            # the flow.
+            return held.is_held
+        return (
+            0
+            < (acknowledged - held.server_sequence) % _WRAP
+            <= max(1, (held.sent_end - held.server_sequence) % _WRAP)
+        )
+
+    def _note_sequence(self, held, packet):
+        end = (packet.sequence + packet.data_bytes) % _WRAP
+        if packet.is_open_answer:
+            held.server_sequence = packet.sequence
+            end = (packet.sequence + 1) % _WRAP
+            if held.sent_end == 0:
+                held.sent_end = end
+        if packet.is_close:
+            end = (end + 1) % _WRAP
+        if 0 < (end - held.sent_end) % _WRAP < _HALF_WRAP:
+            held.sent_end = end
+
+
+def make_held_flows(clock, max_age_ms, *, is_complete):
+    """Return an empty table.
+
+    Args:
+        clock: Clock.
+        max_age_ms: A flow older than this may have been dropped.
+        is_complete: Whether the server had no flow before the agent started.
+    """
+    return HeldFlows(clock, max_age_ms, is_complete=is_complete)
--- a/tests/control/test_peers.py
+++ b/tests/control/test_peers.py
@@ -62,7 +62,7 @@
                 )
             },
             name='b0',
-            keeper=self.keeper,
+            read_revision=lambda: self.keeper.fleet.revision,
             counts=self.counts,
             **options,
         )
