Forget failures of a server after 3 s and count answers only

Ruled out: missing entries in the view (all servers were listed); silent agents (reports arrived). Also: a packet that closes a flow may overtake the answer, so the status was logged as null; the head is now awaited.

--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -180,9 +180,7 @@
         status = (
             self._format.answer_status(data) if packet.data_bytes else None
         )
-        known = self.held.get(packet.flow)
-        since_ms = known.running_since_ms if known is not None else None
-        held, is_first = self.held.on_server_packet(packet, status)
+        held, is_first, took_ms = self.held.on_server_packet(packet, status)
         if is_first and held.balancer is not None:
             self._counters.flows_accepted += 1
             accepted = flow_datagrams.FlowStatus(
@@ -191,12 +189,12 @@
             self._send_to_balancer(
                 flow_datagrams.encode(accepted), held.balancer
             )
-        if since_ms is not None and held.running_since_ms is None:
-            self._note_answer(held, packet, status, since_ms)
+        if took_ms is not None:
+            self._note_answer(held, packet, status, took_ms)
         self._counters.packets_to_clients += 1
         self._send_to_client(data, self._format.client_address(packet.flow))
 
-    def _note_answer(self, held, packet, status, since_ms):
+    def _note_answer(self, held, packet, status, took_ms):
         self._counters.answers += 1
         self._decisions.write(
             'request answered',
@@ -205,7 +203,7 @@
                 'flow': self._format.describe(packet.flow),
                 'status': status,
                 'reset': packet.is_reset,
-                'took_ms': round(self._clock.monotonic_ms() - since_ms),
+                'took_ms': round(took_ms),
             },
         )
 
--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -9,8 +9,10 @@
 # A server holds at most 2,000 connections; twice that leaves room for flows
 # that have ended without a packet.
 MAX_HELD_FLOWS = 4_096
-# Share of failures is taken over so many answers.
+# The share of failures is taken over so many answers at most, and over this
+# time, so that a server which gets few requests is tried again.
 RECENT_ANSWERS = 16
+RECENT_MS = 3_000
 # Fewer answers say little about a server.
 MIN_RECENT_ANSWERS = 3
 # A server answers an opening packet in about 1 ms; its instance may be slow
@@ -37,6 +39,8 @@
             server has accepted the flow.
         sent_end: Sequence number after the last byte of the server.
         running_since_ms: Since when a request has been in progress, or None.
+        unanswered_since_ms: Since when the head of an answer is missing, or
+            None; the packet that closes a flow may overtake it.
         is_held: Whether the server has sent a packet for it.
         is_closed: Whether the server has sent everything, or reset it.
         request_id: Id of the latest request, or None.
@@ -49,6 +53,7 @@
     server_sequence: int | None = None
     sent_end: int = 0
     running_since_ms: float | None = None
+    unanswered_since_ms: float | None = None
     is_held: bool = False
     is_closed: bool = False
     request_id: str | None = None
@@ -106,9 +111,13 @@
 
     def failing_percent(self):
         """Return the share of failures among the latest answers."""
+        oldest_ms = self._clock.monotonic_ms() - RECENT_MS
+        while self._answers and self._answers[0][0] < oldest_ms:
+            self._answers.popleft()
         if len(self._answers) < MIN_RECENT_ANSWERS:
             return 0
-        return 100 * sum(self._answers) // len(self._answers)
+        failures = sum(is_failure for _, is_failure in self._answers)
+        return 100 * failures // len(self._answers)
 
     def get(self, flow):
         """Return the HeldFlow, or None."""
@@ -138,6 +147,8 @@
             self._start(packet.flow, held, now_ms)
         elif packet.data_bytes:
             self._start(packet.flow, held, now_ms)
+            if held.server_sequence is not None and not held.is_closed:
+                held.unanswered_since_ms = now_ms
         elif packet.is_reset:
             self._finish(packet.flow, held)
         return held
@@ -150,8 +161,10 @@
             status: HTTP status at the start of its data, or None.
 
         Returns:
-            ``(HeldFlow, is_first_answer)``: whether the packet accepts the
-            flow for the first time.
+            ``(HeldFlow, is_first, took_ms)``: whether the packet accepts the
+            flow for the first time, and how long the request took when the
+            packet carries its answer's head or ends the flow without one,
+            else None.
         """
         now_ms = self._clock.monotonic_ms()
         self.is_silent = False
@@ -166,18 +179,24 @@
         self._opening.pop(packet.flow, None)
         held.opening_data = b''
         self._note_sequence(held, packet)
-        if packet.data_bytes and held.running_since_ms is not None:
-            if status is not None:
-                self._answers.append(
-                    status >= FAILURE_STATUS and status not in NOT_RUN_STATUSES
-                )
-            self._finish(packet.flow, held)
+        took_ms = self._note_answer(held, packet, status, now_ms)
         if packet.is_close or packet.is_reset:
-            if packet.is_reset and held.running_since_ms is not None:
-                self._answers.append(True)
             held.is_closed = True
+        if packet.data_bytes or held.is_closed:
             self._finish(packet.flow, held)
-        return held, not was_held
+        return held, not was_held, took_ms
+
+    def _note_answer(self, held, packet, status, now_ms):
+        since_ms = held.unanswered_since_ms
+        is_end = status is not None or packet.is_reset
+        if since_ms is None or not is_end:
+            return None
+        held.unanswered_since_ms = None
+        is_failure = packet.is_reset or (
+            status >= FAILURE_STATUS and status not in NOT_RUN_STATUSES
+        )
+        self._answers.append((now_ms, is_failure))
+        return now_ms - since_ms
 
     def on_bounce(self, packet):
         """Note a packet that the server gave back.
