Let openings wait for a server with room, and forget leaked work

Change: balancers keep an opening packet for its target time at most until a server has room; one flow ahead of the server's slots is allowed. Traced: a flow without a request, or a request sent again after its answer, was counted as work for ever, and its server looked as if a request had been running for 15 s. Such work now ends after 300 ms and 3 s, and only new bytes start a request (tests fail without). Ruled out: reports lost on the way (each later report showed the same count).

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -194,6 +194,7 @@
         while True:
             gevent.sleep(CHECK_MS / 1000)
             self.data_path.check_openings()
+            self.data_path.check_waiting()
             self.data_path.check_searches()
             self.sync.greet_agents(
                 self.data_path.loads, self.data_path.agent_ips
@@ -242,6 +243,7 @@
         age_ms = self.view.age_ms()
         return {
             'flows': self._flow_count(),
+            'openings_waiting': len(self.data_path.waiting),
             'searches_open': len(self.data_path.searches),
             'servers': len(self.view.servers),
             'configuration_version': self.view.configuration.version,
--- a/packages/balancer/src/kingcupport/balancer/flow_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_counters.py
@@ -12,6 +12,8 @@
     peer_datagrams_malformed: int = 0
     flows_placed: int = 0
     flows_placed_again: int = 0
+    flows_waiting: int = 0
+    copies_ignored: int = 0
     flows_refused: int = 0
     flows_found: int = 0
     flows_lost: int = 0
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -6,6 +6,7 @@
 from kingcupport.flows import flow_placement
 from kingcupport.flows import flow_table as flow_table_module
 from kingcupport.flows import holder_search
+from kingcupport.flows import opening_queue
 from kingcupport.flows import server_loads
 from kingcupport.wire import flow_datagrams
 
@@ -68,6 +69,7 @@
         self.table = flow_table_module.make_flow_table(
             clock, settings.max_flow_ms
         )
+        self.waiting = opening_queue.make_opening_queue(clock)
         self.searches = holder_search.make_holder_searches(clock)
         self._placement = flow_placement.make_flow_placement(
             clock, self.loads, settings.data_centre
@@ -179,6 +181,8 @@
     def _on_opening(self, packet, data, entry, route):
         if route is None:
             self._refuse_without_route(packet)
+        elif packet.flow in self.waiting:
+            self._counters.copies_ignored += 1
         elif entry is None or self._is_replaced(entry):
             self._place(packet, data, route)
         elif entry.is_accepted or self._is_live(entry):
@@ -192,9 +196,46 @@
         if server is None:
             self._refuse(packet, 'no server takes flows', service)
             return
-        entry = self.table.put(packet.flow, server, opening_data=data)
+        limit = self._placement.slot_limit(server)
+        if limit is None and self.waiting.put(
+            packet.flow, service, data, route
+        ):
+            self._counters.flows_waiting += 1
+            return
+        self._send_placed(packet.flow, server, data, limit or 0)
+
+    def _place_waiting(self, service):
+        while True:
+            opening = self.waiting.pop(service)
+            if opening is None:
+                return
+            server = self._choose(opening.flow, service, ())
+            limit = 0
+            if server is not None:
+                limit = self._placement.slot_limit(server)
+            if limit is None:
+                self.waiting.put_back(opening)
+                return
+            self._place_opening(opening, server, limit)
+
+    def _place_opening(self, opening, server, limit):
+        if server is None:
+            packet = self._format.read_from_client(opening.data)
+            self._refuse(packet, 'no server takes flows', opening.service)
+            return
+        waited_ms = self._clock.monotonic_ms() - opening.since_ms
+        self._send_placed(opening.flow, server, opening.data, limit, waited_ms)
+
+    def check_waiting(self):
+        """Send flows that have waited long to a server's own queue."""
+        for opening in self.waiting.pop_due():
+            server = self._choose(opening.flow, opening.service, ())
+            self._place_opening(opening, server, 0)
+
+    def _send_placed(self, flow, server, data, limit, waited_ms=0):
+        entry = self.table.put(flow, server, opening_data=data)
         self._counters.flows_placed += 1
-        self._send_opening(entry, server, 'flow placed')
+        self._send_opening(entry, server, 'flow placed', limit, waited_ms)
 
     def _place_again(self, entry, reason):
         entry.tried = (*entry.tried, entry.server_name)
@@ -211,15 +252,19 @@
         data = entry.opening_data
         entry = self.table.put(entry.flow, server, opening_data=data)
         self._counters.flows_placed_again += 1
-        self._send_opening(entry, server, f'flow placed again: {reason}')
+        limit = 0
+        if len(entry.tried) < MAX_DECLINES:
+            limit = self._placement.slot_limit(server) or 0
+        self._send_opening(
+            entry, server, f'flow placed again: {reason}', limit
+        )
 
     def _choose(self, flow, service, tried):
         return self._placement.choose(
             flow, self._by_service.get(service, ()), tried
         )
 
-    def _send_opening(self, entry, server, event):
-        has_slot = self._placement.has_free_slot(server)
+    def _send_opening(self, entry, server, event, limit, waited_ms=0):
         load = self.loads.get(server.ip)
         self._decisions.write(
             event,
@@ -231,11 +276,9 @@
                 'report_age_ms': self._report_age_ms(load),
                 'view_age_ms': _rounded(self._view.age_ms()),
                 'tried': len(entry.tried),
+                'waited_ms': round(waited_ms),
             },
         )
-        limit = server.slots if has_slot else 0
-        if len(entry.tried) >= MAX_DECLINES:
-            limit = 0
         self.loads.on_placed(server.ip, entry.flow)
         self._openings.append(
             (
@@ -422,9 +465,9 @@
         if packet.is_open:
             if is_current and not entry.is_accepted:
                 if reason == flow_datagrams.DeclineReason.BUSY:
-                    server = self._by_ip.get(ip)
-                    self.loads.on_busy(ip, server.slots if server else 1)
-                self._place_again(entry, reason.name.lower())
+                    self._on_busy(entry)
+                else:
+                    self._place_again(entry, reason.name.lower())
             return
         if reason == flow_datagrams.DeclineReason.ENDED:
             if entry is None or is_current:
@@ -451,11 +494,30 @@
             answered=(ip,),
         )
 
+    def _on_busy(self, entry):
+        server = self._by_ip.get(entry.ip)
+        self.loads.on_settled(entry.ip, entry.flow)
+        self.loads.on_busy(entry.ip, server.slots + 1 if server else 1)
+        route = self._route_of(entry.flow)
+        if (
+            route is None
+            or not self.loads.get(entry.ip).is_exact
+            or not self.waiting.put(
+                entry.flow, entry.service, entry.opening_data, route
+            )
+        ):
+            self._place_again(entry, 'busy')
+            return
+        self.table.forget(entry.flow)
+        self._place_waiting(entry.service)
+
     def _on_report(self, ip, report):
         load = self.loads.get(ip)
         before = (load.is_leaving, load.is_silent, load.boot)
         if not self.loads.on_report(ip, report):
             return
+        if len(self.waiting):
+            self._place_waiting(report.service)
         after = (load.is_leaving, load.is_silent, load.boot)
         if before != after:
             self._decisions.write(
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from kingcupport.flows import opening_queue
+
 # The penalties order servers whose queues differ; each is in requests that
 # wait in front of the new one.
 # A cold server takes 1.6 times as long for some seconds.
@@ -69,9 +71,31 @@
             return None
         return min(pool, key=lambda server: self._rank(flow, server))
 
-    def has_free_slot(self, server):
-        """Whether a request would start at once at a server."""
-        return self._loads.running(server.ip) < server.slots
+    def slot_limit(self, server):
+        """Return how many requests a server may have when a flow arrives.
+
+        Args:
+            server: FlowServer that was chosen.
+
+        Returns:
+            A number of requests, or None when the flow is better off waiting
+            until some server has room.
+        """
+        running = self._loads.running(server.ip)
+        if running < server.slots:
+            return server.slots
+        load = self._loads.get(server.ip)
+        if not load.is_exact or not self._loads.is_usable(server.ip):
+            # No report tells when the server has room.
+            return 0
+        limit = server.slots + opening_queue.FLOWS_AHEAD
+        if running < limit and not self._has_straggler(load):
+            return limit
+        return None
+
+    def _has_straggler(self, load):
+        age_ms = self._clock.monotonic_ms() - load.oldest_since_ms
+        return load.running > 0 and age_ms > STRAGGLER_AGE_MS
 
     def _rank(self, flow, server):
         draw = xxhash.xxh3_64_intdigest(server.name.encode() + flow)
@@ -80,22 +104,25 @@
     def cost(self, server):
         """Return the expected wait at a server, in requests."""
         load = self._loads.get(server.ip)
-        excess = self._loads.running(server.ip) - server.slots + 1
-        cost = max(0, excess) / server.slots
-        if not load.is_exact and not load.unconfirmed:
-            age_ms = self._clock.monotonic_ms() - (load.reported_ms or 0)
-            if age_ms > REPORT_HOLDS_MS:
-                cost = UNKNOWN_COST
-        if excess > 0 and load.running:
-            age_ms = self._clock.monotonic_ms() - load.oldest_since_ms
-            if age_ms > STRAGGLER_AGE_MS:
-                cost += STRAGGLER_PENALTY / server.slots
+        cost = self._queue_cost(server, load)
         if server.is_cold:
             cost += COLD_PENALTY
         if server.data_centre != self._data_centre:
             cost += OTHER_DATA_CENTRE_PENALTY
         return cost + load.failing_percent * FAILING_PENALTY_PER_PERCENT
 
+    def _queue_cost(self, server, load):
+        now_ms = self._clock.monotonic_ms()
+        if not load.is_exact and not load.unconfirmed:
+            age_ms = now_ms - (load.reported_ms or 0)
+            if age_ms > REPORT_HOLDS_MS:
+                return UNKNOWN_COST
+        excess = self._loads.running(server.ip) - server.slots + 1
+        if excess <= 0:
+            return 0
+        penalty = STRAGGLER_PENALTY if self._has_straggler(load) else 0
+        return (excess + penalty) / server.slots
+
 
 def make_flow_placement(clock, loads, data_centre):
     """Return the placement of one balancer.
--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -1,6 +1,7 @@
 """The flows of one backend server, as its agent sees their packets."""
 
 import collections
+import itertools
 
 import attrs
 
@@ -18,6 +19,13 @@
 # A server answers an opening packet in about 1 ms; its instance may be slow
 # or starting.
 OPEN_ANSWER_MS = 60
+# A client's request follows the server's answer to the opening packet after a
+# round trip, or 200 ms later when a packet was lost. A flow without one is not
+# counted as work any longer: the client has gone on with another server.
+REQUEST_WAIT_MS = 300
+# The longest work takes 260 ms, and a slow server 8 times as long. A request
+# without an answer after this time is not counted any longer.
+MAX_RUN_MS = 3_000
 # Sequence numbers wrap at 32 bits.
 _WRAP = 1 << 32
 _HALF_WRAP = 1 << 31
@@ -45,6 +53,8 @@
         is_closed: Whether the server has sent everything, or reset it.
         request_id: Id of the latest request, or None.
         opening_data: Bytes of the opening packet until it is accepted.
+        client_end: Sequence number after the client's last byte; None before
+            the first. Packets that are sent again start no request.
     """
 
     balancer: tuple
@@ -58,6 +68,7 @@
     is_closed: bool = False
     request_id: str | None = None
     opening_data: bytes = b''
+    client_end: int | None = None
 
 
 class HeldFlows:
@@ -80,6 +91,9 @@
             0.0 if is_complete else clock.monotonic_ms() + max_age_ms
         )
         self._flows = collections.OrderedDict()
+        # Since when, by flow, in order: flows that wait for a request, and
+        # requests that wait for an answer.
+        self._requested = {}
         self._running = {}
         self._opening = {}
         self._answers = collections.deque(maxlen=RECENT_ANSWERS)
@@ -92,7 +106,20 @@
     @property
     def running(self):
         """Number of requests that the server has not answered."""
-        return len(self._running)
+        now_ms = self._clock.monotonic_ms()
+        self._prune(self._requested, now_ms - REQUEST_WAIT_MS)
+        self._prune(self._running, now_ms - MAX_RUN_MS)
+        return len(self._requested) + len(self._running)
+
+    def _prune(self, since_by_flow, oldest_ms):
+        late = itertools.takewhile(
+            lambda item: item[1] < oldest_ms, list(since_by_flow.items())
+        )
+        for flow, _ in late:
+            del since_by_flow[flow]
+            held = self._flows.get(flow)
+            if held is not None:
+                held.running_since_ms = None
 
     @property
     def open_count(self):
@@ -104,7 +131,7 @@
 
     def oldest_age_ms(self):
         """Return how long the oldest request has been running, in ms."""
-        if not self._running:
+        if not self.running or not self._running:
             return 0
         oldest_ms = next(iter(self._running.values()))
         return max(0, int(self._clock.monotonic_ms() - oldest_ms))
@@ -144,11 +171,11 @@
         if packet.is_open and held.server_sequence is None:
             held.opening_data = data
             self._opening.setdefault(packet.flow, now_ms + OPEN_ANSWER_MS)
+            if held.running_since_ms is None:
+                held.running_since_ms = now_ms
+                self._requested[packet.flow] = now_ms
+        elif packet.data_bytes and self._is_new(held, packet):
             self._start(packet.flow, held, now_ms)
-        elif packet.data_bytes:
-            self._start(packet.flow, held, now_ms)
-            if held.server_sequence is not None and not held.is_closed:
-                held.unanswered_since_ms = now_ms
         elif packet.is_reset:
             self._finish(packet.flow, held)
         return held
@@ -267,7 +294,7 @@
         held = self._flows.pop(flow, None)
         self._opening.pop(flow, None)
         if held is not None:
-            self._running.pop(flow, None)
+            self._finish(flow, held)
 
     def drop_expired(self, idle_timeout_ms):
         """Drop the flows that are over.
@@ -291,13 +318,28 @@
         if len(self._flows) > self._capacity:
             self.forget(next(iter(self._flows)))
 
+    def _is_new(self, held, packet):
+        end = (packet.sequence + packet.data_bytes) % _WRAP
+        is_new = held.client_end is None or (
+            0 < (end - held.client_end) % _WRAP < _HALF_WRAP
+        )
+        if is_new:
+            held.client_end = end
+        return is_new
+
     def _start(self, flow, held, now_ms):
-        if held.running_since_ms is None and not held.is_closed:
+        if held.is_closed or flow in self._running:
+            return
+        self._requested.pop(flow, None)
+        if held.running_since_ms is None:
             held.running_since_ms = now_ms
-            self._running[flow] = now_ms
+        self._running[flow] = now_ms
+        if held.server_sequence is not None:
+            held.unanswered_since_ms = now_ms
 
     def _finish(self, flow, held):
         held.running_since_ms = None
+        self._requested.pop(flow, None)
         self._running.pop(flow, None)
 
     def _is_mine(self, held, acknowledged):
--- /dev/null
+++ b/tests/flows/test_fleet_view.py
@@ -0,0 +1,215 @@
+"""Guards that a view never goes back, whatever it is told."""
+
+import flow_support
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from kingcupport.flows import fleet_source
+from kingcupport.flows import fleet_view
+
+
+def make_reading(revision, servers=(), *, is_whole=True, **fields):
+    return fleet_source.FleetReading(
+        revision, is_whole, servers=list(servers), **fields
+    )
+
+
+@pytest.fixture
+def clock():
+    return flow_support.make_clock()
+
+
+@pytest.fixture
+def view(clock):
+    return fleet_view.make_fleet_view(clock)
+
+
+def read(view, clock, reading):
+    return view.apply_reading(reading, clock.monotonic_ms())
+
+
+def test_a_missing_server_is_removed(view, clock):
+    servers = [flow_support.make_server(i) for i in (1, 2)]
+    read(view, clock, make_reading(10, servers))
+    read(view, clock, make_reading(11, servers[:1]))
+    assert list(view.servers) == ['gate-1']
+
+
+def test_a_server_that_lapsed_during_an_outage_has_2_s_to_return(view, clock):
+    servers = [flow_support.make_server(i) for i in (1, 2)]
+    read(view, clock, make_reading(10, servers))
+    clock.advance(fleet_view.OUTAGE_MS + 1)
+    read(view, clock, make_reading(20, servers[:1]))
+    assert len(view.servers) == 2
+    clock.advance(1_000)
+    back = flow_support.make_server(2, revision=25)
+    read(view, clock, make_reading(30, [servers[0], back]))
+    clock.advance(1_500)
+    read(view, clock, make_reading(31, [servers[0], back]))
+    assert len(view.servers) == 2
+
+
+def test_a_server_that_stays_away_after_an_outage_is_gone(view, clock):
+    servers = [flow_support.make_server(i) for i in (1, 2)]
+    read(view, clock, make_reading(10, servers))
+    clock.advance(fleet_view.OUTAGE_MS + 1)
+    read(view, clock, make_reading(20, servers[:1]))
+    for revision in (30, 31, 32):
+        clock.advance(1_000)
+        read(view, clock, make_reading(revision, servers[:1]))
+    assert list(view.servers) == ['gate-1']
+
+
+def test_a_draining_server_that_leaves_during_an_outage_is_gone(view, clock):
+    draining = flow_support.make_server(2, is_draining=True)
+    read(view, clock, make_reading(10, [draining]))
+    clock.advance(fleet_view.OUTAGE_MS + 1)
+    read(view, clock, make_reading(20, []))
+    assert not view.servers
+
+
+def test_heartbeats_are_no_changes(view, clock):
+    read(view, clock, make_reading(10, [flow_support.make_server(1)]))
+    content = view.content_revision
+    beat = flow_support.make_server(1, revision=12)
+    assert not read(view, clock, make_reading(12, [beat]))
+    assert view.content_revision == content
+
+
+def test_a_late_reading_does_not_undo_a_drain(view, clock):
+    draining = flow_support.make_server(1, is_draining=True, revision=12)
+    read(view, clock, make_reading(12, [draining]))
+    read(view, clock, make_reading(11, [flow_support.make_server(1)]))
+    assert view.servers['gate-1'].is_draining
+
+
+def test_a_difference_brings_a_peer_up_to_date(view, clock):
+    read(
+        view,
+        clock,
+        make_reading(
+            10,
+            [flow_support.make_server(1), flow_support.make_server(2)],
+            configuration=flow_support.make_configuration(3),
+        ),
+    )
+    peer = fleet_view.make_fleet_view(clock)
+    peer.apply_difference(view.difference_since(0, 0))
+    assert peer.servers == view.servers
+    assert peer.configuration == view.configuration
+    read(view, clock, make_reading(11, [flow_support.make_server(1)]))
+    peer.apply_difference(
+        view.difference_since(
+            peer.configuration.version, peer.content_revision
+        )
+    )
+    assert peer.servers == view.servers
+    assert peer.content_revision == view.content_revision
+
+
+def test_an_unusable_entry_names_no_server(view, clock):
+    read(view, clock, make_reading(10, [flow_support.make_server(1)]))
+    read(
+        view,
+        clock,
+        make_reading(11, is_whole=False, unusable_names=['gate-1']),
+    )
+    assert not view.servers
+
+
+class ViewMachine(stateful.RuleBasedStateMachine):
+    """A store, two views and messages that arrive late and out of order."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = flow_support.make_clock()
+        self.views = [fleet_view.make_fleet_view(self.clock) for _ in 'ab']
+        self.revision = 1
+        self.version = 1
+        self.entries = {}
+        self.removed = {}
+        self.waiting = []
+        self.seen = [{}, {}]
+
+    def _next(self):
+        self.revision += 1
+        return self.revision
+
+    @stateful.rule(
+        number=strategies.integers(1, 4), drains=strategies.booleans()
+    )
+    def write_server(self, number, drains):
+        server = flow_support.make_server(
+            number, is_draining=drains, revision=self._next()
+        )
+        self.entries[server.name] = server
+        self.removed.pop(server.name, None)
+
+    @stateful.rule(number=strategies.integers(1, 4))
+    def remove_server(self, number):
+        if self.entries.pop(f'gate-{number}', None):
+            self.removed[f'gate-{number}'] = self._next()
+
+    @stateful.rule()
+    def write_configuration(self):
+        self.version += 1
+        self._next()
+
+    @stateful.rule()
+    def read_all(self):
+        self.waiting.append(
+            make_reading(
+                self.revision,
+                self.entries.values(),
+                configuration=flow_support.make_configuration(self.version),
+            )
+        )
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(view=strategies.integers(0, 1), data=strategies.data())
+    def deliver(self, view, data):
+        reading = data.draw(strategies.sampled_from(self.waiting))
+        self.views[view].apply_reading(reading, self.clock.monotonic_ms())
+
+    @stateful.rule(source=strategies.integers(0, 1))
+    def exchange(self, source):
+        giver, taker = self.views[source], self.views[1 - source]
+        taker.apply_difference(
+            giver.difference_since(
+                taker.configuration.version, taker.content_revision
+            )
+        )
+
+    @stateful.rule(pause_ms=strategies.sampled_from((10, 1_000, 10_000)))
+    def wait(self, pause_ms):
+        self.clock.advance(pause_ms)
+
+    @stateful.invariant()
+    def nothing_goes_back(self):
+        for view, seen in zip(self.views, self.seen, strict=True):
+            assert view.configuration.version >= seen.get('version', 0)
+            seen['version'] = view.configuration.version
+            for name, server in view.servers.items():
+                assert server.revision >= seen.get(name, 0)
+                seen[name] = server.revision
+
+    def teardown(self):
+        newest = make_reading(
+            self._next(),
+            self.entries.values(),
+            configuration=flow_support.make_configuration(self.version),
+        )
+        for view in self.views:
+            for _ in range(3):
+                view.apply_reading(newest, self.clock.monotonic_ms())
+                self.clock.advance(fleet_view.RETURN_GRACE_MS + 1)
+                newest.revision = self._next()
+                view.confirm(self.clock.monotonic_ms(), 0)
+            view.apply_reading(newest, self.clock.monotonic_ms())
+            assert set(view.servers) == set(self.entries)
+            for name, server in self.entries.items():
+                assert not view.servers[name].differs_from(server)
+
+
+TestViewMachine = ViewMachine.TestCase
--- /dev/null
+++ b/tests/flows/test_held_flows.py
@@ -0,0 +1,185 @@
+"""Guards what an agent knows of the work and the flows of its server."""
+
+import flow_support
+import pytest
+
+from kingcupport.flows import held_flows
+from kingcupport.wire import flow_datagrams
+
+BALANCER = ('10.1.0.1', 7720)
+FORMAT = flow_support.FORMAT
+MAX_AGE_MS = 60_000
+
+
+class Agent:
+    """A table and the packets of its server."""
+
+    def __init__(self, is_complete=True):
+        self.clock = flow_support.make_clock()
+        self.held = held_flows.make_held_flows(
+            self.clock, MAX_AGE_MS, is_complete=is_complete
+        )
+
+    def client(self, flow, flags=0, **fields):
+        data = FORMAT.make(flow, flags=flags, **fields)
+        packet = FORMAT.read_from_client(data)
+        return self.held.on_client_packet(packet, data, BALANCER)
+
+    def server(self, flow, flags=0, status=None, **fields):
+        data = FORMAT.make(flow, from_client=False, flags=flags, **fields)
+        return self.held.on_server_packet(
+            FORMAT.read_from_server(data), status
+        )
+
+    def bounce(self, flow, flags=0, **fields):
+        data = FORMAT.make(flow, flags=flags, **fields)
+        return self.held.on_bounce(FORMAT.read_from_client(data))
+
+    def accept(self, flow, sequence=100):
+        self.client(flow, flow_support.OPEN)
+        self.server(flow, flow_support.OPEN_ANSWER, sequence=sequence)
+
+    def run(self, flow, status=200):
+        self.accept(flow)
+        self.client(flow, data=b'request=a', acknowledged=101)
+        return self.server(flow, status=status, sequence=101, data=b'200')
+
+
+@pytest.fixture
+def agent():
+    return Agent()
+
+
+def test_a_request_is_running_from_its_opening_to_its_answer(agent):
+    flow = flow_support.make_flow(1)
+    agent.client(flow, flow_support.OPEN)
+    assert agent.held.running == 1
+    agent.server(flow, flow_support.OPEN_ANSWER, sequence=100)
+    agent.client(flow, data=b'request=a', acknowledged=101)
+    agent.clock.advance(30)
+    assert agent.held.oldest_age_ms() == 30
+    _, _, took_ms = agent.server(flow, status=200, data=b'200', sequence=101)
+    assert took_ms == 30
+    assert agent.held.running == 0
+
+
+def test_the_close_may_overtake_the_answer(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow)
+    agent.client(flow, data=b'request=a', acknowledged=101)
+    _, _, took_ms = agent.server(flow, flow_support.CLOSE, sequence=390)
+    assert took_ms is None
+    _, _, took_ms = agent.server(flow, status=200, sequence=101, data=b'200')
+    assert took_ms is not None
+
+
+def test_failures_are_forgotten_by_a_server_without_requests(agent):
+    for number in range(held_flows.MIN_RECENT_ANSWERS):
+        agent.run(flow_support.make_flow(number), status=500)
+    assert agent.held.failing_percent() == 100
+    agent.clock.advance(held_flows.RECENT_MS + 1)
+    assert agent.held.failing_percent() == 0
+
+
+def test_resets_of_flows_of_a_former_boot_are_no_failures(agent):
+    for number in range(held_flows.RECENT_ANSWERS):
+        flow = flow_support.make_flow(number)
+        agent.client(flow, data=b'rest of a request', acknowledged=7)
+        agent.server(flow, flow_support.RESET)
+    assert agent.held.failing_percent() == 0
+    assert agent.held.running == 0
+
+
+def test_a_full_server_is_not_a_faulty_one(agent):
+    for number in range(held_flows.RECENT_ANSWERS):
+        agent.run(flow_support.make_flow(number), status=503)
+    assert agent.held.failing_percent() == 0
+
+
+def test_only_the_server_that_the_client_talks_to_holds_the_flow(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow, sequence=100)
+
+    def holding(acknowledged):
+        query = flow_datagrams.FlowQuery(flow, acknowledged)
+        return agent.held.holding(query)
+
+    assert holding(101) == flow_datagrams.Holding.YES
+    assert holding(5_000_101) == flow_datagrams.Holding.NO
+
+
+def test_an_agent_that_started_later_does_not_deny_a_flow():
+    agent = Agent(is_complete=False)
+    query = flow_datagrams.FlowQuery(flow_support.make_flow(1), 1)
+    assert agent.held.holding(query) == flow_datagrams.Holding.UNKNOWN
+    agent.clock.advance(MAX_AGE_MS)
+    assert agent.held.holding(query) == flow_datagrams.Holding.NO
+
+
+def test_a_bounced_packet_of_a_held_flow_ended_it(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow, sequence=100)
+    held, reason = agent.bounce(flow, acknowledged=101, data=b'x')
+    assert reason == flow_datagrams.DeclineReason.ENDED
+    assert held.balancer == BALANCER
+
+
+def test_a_bounced_packet_of_an_unknown_flow_did_not_end_it(agent):
+    flow = flow_support.make_flow(1)
+    agent.client(flow, acknowledged=101, data=b'x')
+    _, reason = agent.bounce(flow, acknowledged=101, data=b'x')
+    assert reason == flow_datagrams.DeclineReason.NOT_HELD
+
+
+def test_a_bounced_opening_packet_is_no_longer_running(agent):
+    flow = flow_support.make_flow(1)
+    agent.client(flow, flow_support.OPEN)
+    _, reason = agent.bounce(flow, flow_support.OPEN)
+    assert reason == flow_datagrams.DeclineReason.UNAVAILABLE
+    assert agent.held.running == 0
+
+
+def test_opening_packets_without_an_answer_are_due(agent):
+    flow = flow_support.make_flow(1)
+    agent.client(flow, flow_support.OPEN)
+    agent.clock.advance(held_flows.OPEN_ANSWER_MS - 1)
+    assert agent.held.unanswered_opens() == []
+    agent.clock.advance(1)
+    assert [item[0] for item in agent.held.unanswered_opens()] == [flow]
+
+
+def test_the_table_is_bounded():
+    clock = flow_support.make_clock()
+    held = held_flows.HeldFlows(
+        clock, MAX_AGE_MS, is_complete=True, capacity=4
+    )
+    for number in range(10):
+        data = FORMAT.make(flow_support.make_flow(number), flags=64)
+        held.on_client_packet(FORMAT.read_from_client(data), data, BALANCER)
+    assert len(held) == 4
+    assert held.running == 4
+
+
+def test_a_flow_without_a_request_is_no_work_for_long(agent):
+    agent.accept(flow_support.make_flow(1))
+    assert agent.held.running == 1
+    agent.clock.advance(held_flows.REQUEST_WAIT_MS + 1)
+    assert agent.held.running == 0
+
+
+def test_a_request_that_is_sent_again_after_its_answer_is_no_work(agent):
+    flow = flow_support.make_flow(1)
+    agent.run(flow)
+    agent.client(flow, data=b'request=a', acknowledged=101)
+    assert agent.held.running == 0
+    agent.client(flow, sequence=9, data=b'request=b', acknowledged=101)
+    assert agent.held.running == 1
+
+
+def test_a_request_without_an_answer_is_not_counted_for_ever(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow)
+    agent.client(flow, data=b'request=a', acknowledged=101)
+    agent.clock.advance(held_flows.MAX_RUN_MS + 1)
+    assert agent.held.running == 0
+    assert agent.held.oldest_age_ms() == 0
--- /dev/null
+++ b/tests/wire/test_flow_datagrams.py
@@ -0,0 +1,71 @@
+"""Guards the datagrams between balancers and agents of flows."""
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies
+import msgpack
+import pytest
+
+from kingcupport.wire import errors
+from kingcupport.wire import flow_datagrams
+
+SAMPLES = [
+    flow_datagrams.FlowEnvelope('gate', 1, b'packet'),
+    flow_datagrams.FlowDecline(1, b'packet'),
+    flow_datagrams.FlowQuery(b'flow', 7),
+    flow_datagrams.FlowStatus(b'flow', 1),
+    flow_datagrams.LoadReport(1, 2, 'gate', 3, 4, 5, False, True, True),
+    flow_datagrams.AgentGreeting('b0', 500),
+    flow_datagrams.BalancerGreeting(
+        'b0', 1, 2, 3, -1, True, False, True, ['10.0.0.1']
+    ),
+]
+
+
+@pytest.mark.parametrize('datagram', SAMPLES)
+def test_a_datagram_survives_the_way(datagram):
+    assert flow_datagrams.decode(flow_datagrams.encode(datagram)) == datagram
+
+
+@given(strategies.binary(max_size=1_200))
+def test_a_packet_is_carried_whole(packet_data):
+    envelope = flow_datagrams.FlowEnvelope('gate', 0, packet_data)
+    decoded = flow_datagrams.decode(flow_datagrams.encode(envelope))
+    assert decoded.packet_data == packet_data
+
+
+@given(strategies.binary(max_size=200))
+def test_random_bytes_raise_only_wire_errors(data):
+    try:
+        flow_datagrams.decode(data)
+    except errors.WireError as error:
+        assert error.step == 'decode_flow_datagram'
+
+
+@given(
+    strategies.sampled_from(SAMPLES),
+    strategies.integers(0, 40),
+    strategies.integers(0, 255),
+)
+def test_changed_bytes_raise_only_wire_errors(datagram, position, value):
+    data = bytearray(flow_datagrams.encode(datagram))
+    data[position % len(data)] = value
+    try:
+        flow_datagrams.decode(bytes(data))
+    except errors.WireError as error:
+        assert error.code == 'bad_wire_data'
+
+
+@pytest.mark.parametrize('datagram', SAMPLES)
+def test_fields_of_another_type_are_refused(datagram):
+    fields = [
+        field.name
+        for field in attrs.fields(type(datagram))
+        if field.name != 'packet_data'
+    ]
+    for number in range(len(fields)):
+        values = [getattr(datagram, name) for name in fields]
+        values[number] = {'a': 'map'}
+        data = msgpack.packb([1, datagram.datagram_code, *values])
+        with pytest.raises(errors.WireError):
+            flow_datagrams.decode(data)
