Split the balancer's data path of flows by responsibility

The index of servers, the search for holders and the refusals are modules of their own; no decision changes. Tests of the data path and of the whole path pass before and after.

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -195,7 +195,7 @@
             gevent.sleep(CHECK_MS / 1000)
             self.data_path.check_openings()
             self.data_path.check_waiting()
-            self.data_path.check_searches()
+            self.data_path.finder.check()
             self.sync.greet_agents(
                 self.data_path.loads, self.data_path.agent_ips
             )
@@ -244,7 +244,7 @@
         return {
             'flows': self._flow_count(),
             'openings_waiting': len(self.data_path.waiting),
-            'searches_open': len(self.data_path.searches),
+            'searches_open': len(self.data_path.finder),
             'servers': len(self.view.servers),
             'configuration_version': self.view.configuration.version,
             'view_age_ms': -1 if age_ms is None else age_ms,
--- /dev/null
+++ b/packages/balancer/src/kingcupport/balancer/flow_refusals.py
@@ -0,0 +1,104 @@
+"""Tells clients that a flow is refused or has ended."""
+
+# An unknown route is refused only with a view this fresh; otherwise a newer
+# configuration may have added it.
+FRESH_VIEW_MS = 2_500
+
+
+class FlowRefusals:
+    """Sends resets, each with a line of the decision log.
+
+    Args:
+        packet_format: FlowPacketFormat.
+        view: FleetView.
+        counters: FlowCounters.
+        decisions: DecisionLog.
+        send_to_client: ``send(data, address)`` on the clients' socket.
+    """
+
+    def __init__(
+        self, packet_format, view, counters, decisions, send_to_client
+    ):
+        self._format = packet_format
+        self._view = view
+        self._counters = counters
+        self._decisions = decisions
+        self._send_to_client = send_to_client
+
+    def has_fresh_view(self):
+        """Whether the store confirmed the view lately."""
+        age_ms = self._view.age_ms()
+        return age_ms is not None and age_ms <= FRESH_VIEW_MS
+
+    def refuse(self, packet, reason, service):
+        """Refuse a flow at once.
+
+        Args:
+            packet: FlowPacket of the client.
+            reason: One line for the log.
+            service: Name of its service, or None.
+        """
+        self._counters.flows_refused += 1
+        self.reset(packet, reason, service)
+
+    def refuse_without_route(self, packet):
+        """Refuse a flow to an address without a route, if that is certain.
+
+        Args:
+            packet: FlowPacket of the client.
+
+        Returns:
+            Whether the flow was refused.
+        """
+        if not self.has_fresh_view():
+            self.drop(packet.flow, 'no route, and the view is old')
+            return False
+        self.refuse(packet, 'no route', None)
+        return True
+
+    def reset(self, packet, reason, subject):
+        """End a flow.
+
+        Args:
+            packet: FlowPacket of the client.
+            reason: One line for the log.
+            subject: Name of the service or server that it is about.
+        """
+        self._counters.resets_sent += 1
+        self._decisions.write(
+            'flow reset',
+            {
+                'flow': self._format.describe(packet.flow),
+                'opening': packet.is_open,
+                'reason': reason,
+                'subject': subject,
+                'version': self._view.configuration.version,
+                'view_age_ms': self.view_age_ms(),
+            },
+        )
+        self._send_to_client(
+            self._format.make_reset(packet),
+            self._format.client_address(packet.flow),
+        )
+
+    def drop(self, flow, reason):
+        """Leave a packet unanswered; its sender sends it again.
+
+        Args:
+            flow: The flow.
+            reason: One line for the log.
+        """
+        self._counters.flows_lost += 1
+        self._decisions.write(
+            'packet dropped',
+            {
+                'flow': self._format.describe(flow),
+                'reason': reason,
+                'view_age_ms': self.view_age_ms(),
+            },
+        )
+
+    def view_age_ms(self):
+        """Return the age of the view for a log line, None without one."""
+        age_ms = self._view.age_ms()
+        return None if age_ms is None else round(age_ms)
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -5,6 +5,7 @@
 
 from kingcupport.balancer import flow_counters
 from kingcupport.balancer import flow_data_path
+from kingcupport.balancer import flow_refusals
 from kingcupport.balancer import flow_settings
 from kingcupport.common import address
 from kingcupport.flows import fleet_source
@@ -243,12 +244,12 @@
     for number in range(answers):
         balancer.status(f'10.0.0.{number}', FLOW, flow_datagrams.Holding.NO)
     balancer.clock.advance(1_000)
-    balancer.path.check_searches()
+    balancer.path.finder.check()
     assert not balancer.resets()
 
 
 def test_a_flow_is_not_reset_with_an_old_view(balancer):
-    balancer.clock.advance(flow_data_path.FRESH_VIEW_MS + 1)
+    balancer.clock.advance(flow_refusals.FRESH_VIEW_MS + 1)
     balancer.client(FLOW, acknowledged=5, data=b'x')
     for ip in ('10.0.0.0', '10.0.0.1'):
         balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
@@ -305,7 +306,7 @@
     flow = flow_support.make_flow(1, ('198.18.0.9', 1))
     balancer.client(flow, flow_support.OPEN)
     assert len(balancer.resets()) == 1
-    balancer.clock.advance(flow_data_path.FRESH_VIEW_MS + 1)
+    balancer.clock.advance(flow_refusals.FRESH_VIEW_MS + 1)
     balancer.client(flow, flow_support.OPEN)
     assert not balancer.resets()
 
