--- a/tests/cli/test_programs.py
+++ b/tests/cli/test_programs.py
@@ -20,7 +20,7 @@
 CONVERGED_WITHIN_S = 15
 STOPPED_WITHIN_S = 15
 
-_OPERATIONS = pathlib.Path(__file__).parents[2] / 'docs' / 'operations.md'
+_OPERATIONS = pathlib.Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
 
 _NOTE_2 = """\
 revision = 2
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -19,7 +19,7 @@
 from kingcupport.fleet import release_note
 
 _ROOT = pathlib.Path(__file__).parents[2]
-_PAGE = (_ROOT / 'docs' / 'operations.md').read_text(encoding='utf-8')
+_PAGE = (_ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
 _SETTINGS = {
     'balancer': balancer_settings.BalancerSettings,
     'agent': agent_settings.AgentSettings,
