Start a failed loop again in agents too, and check reasons of declines

Cause: read-through. An exception in an agent's loop would have ended its data path for good, with the process still ready; a decline with an unknown reason raised in the balancer's loop. Change: both daemons use one wrapper, which is in control.periodic_task; an unknown reason is counted as malformed. Tests fail without.

--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -8,6 +8,7 @@
 
 from kingcupport.agent import flow_counters
 from kingcupport.agent import flow_data_path
+from kingcupport.control import periodic_task
 from kingcupport.observability import decision_log
 from kingcupport.observability import health as health_module
 from kingcupport.observability import probe_server
@@ -80,17 +81,18 @@
             OSError: An address cannot be used.
         """
         self._probes.start()
-        self._tasks = [
-            gevent.spawn(
-                self._balancer_socket.receive_forever,
-                self.data_path.on_balancer_datagram,
+        loops = (
+            lambda: self._balancer_socket.receive_forever(
+                self.data_path.on_balancer_datagram
             ),
-            gevent.spawn(
-                self._server_socket.receive_forever,
-                self.data_path.on_server_datagram,
+            lambda: self._server_socket.receive_forever(
+                self.data_path.on_server_datagram
             ),
-            gevent.spawn(self._run_checks),
-            gevent.spawn(self._run_expiry),
+            self._run_checks,
+            self._run_expiry,
+        )
+        self._tasks = [
+            gevent.spawn(periodic_task.run_again, loop) for loop in loops
         ]
         self.health.set_ready()
         LOG.info(
--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -10,6 +10,7 @@
 from kingcupport.balancer import flow_data_path
 from kingcupport.balancer import flow_sync
 from kingcupport.common import errors
+from kingcupport.control import periodic_task
 from kingcupport.flows import fleet_view
 from kingcupport.flows import reader_turn
 from kingcupport.observability import decision_log
@@ -114,7 +115,7 @@
             self._run_exchange,
         )
         self._tasks = [
-            gevent.spawn(flow_sync.run_forever, loop) for loop in loops
+            gevent.spawn(periodic_task.run_again, loop) for loop in loops
         ]
         LOG.info(
             'process started',
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -25,6 +25,8 @@
 # second open at a balancer of the planned size, and a view takes about 50 ms.
 MAX_EARLY_PACKETS = 256
 
+_DECLINE_REASONS = frozenset(flow_datagrams.DeclineReason)
+
 
 class FlowDataPath:
     """Decides for each packet of a client where it goes.
@@ -327,7 +329,7 @@
 
     def _on_decline(self, ip, decline):
         packet = self._format.read_from_client(decline.packet_data)
-        if packet is None:
+        if packet is None or decline.reason not in _DECLINE_REASONS:
             self._counters.packets_malformed += 1
             return
         self._counters.declines += 1
--- a/packages/balancer/src/kingcupport/balancer/flow_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_sync.py
@@ -2,7 +2,6 @@
 
 import logging
 
-import gevent
 from gevent import event
 
 from kingcupport.flows import fleet_source
@@ -278,17 +277,3 @@
         for ip in silent:
             del self._peers[ip]
             LOG.info('balancer lost', extra={'ip': ip})
-
-
-def run_forever(step):
-    """Run a loop again when it fails, with a log line and a pause.
-
-    Args:
-        step: Callable that is not expected to return.
-    """
-    while True:
-        try:
-            step()
-        except Exception:
-            LOG.exception('task failed; it is started again')
-            gevent.sleep(GREETING_INTERVAL_MS / 1000)
--- a/packages/control/src/kingcupport/control/periodic_task.py
+++ b/packages/control/src/kingcupport/control/periodic_task.py
@@ -2,8 +2,13 @@
 
 import logging
 
+import gevent
+
 LOG = logging.getLogger(__name__)
 
+# A loop that fails at once must not take up the processor.
+RESTART_PAUSE_MS = 100
+
 
 def run_periodically(clock, next_delay_ms, step):
     """Wait and run a step, without end.
@@ -24,3 +29,17 @@
         step()
     except Exception:
         LOG.exception('control step failed')
+
+
+def run_again(loop):
+    """Run a loop again when it fails, with a log line and a pause.
+
+    Args:
+        loop: Callable that is not expected to return.
+    """
+    while True:
+        try:
+            loop()
+        except Exception:
+            LOG.exception('task failed; it is started again')
+        gevent.sleep(RESTART_PAUSE_MS / 1000)
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -1,6 +1,8 @@
 """Guards where a balancer sends the packets of flows, and what it refuses."""
 
 import flow_support
+from hypothesis import given
+from hypothesis import strategies
 import pytest
 
 from kingcupport.balancer import flow_counters
@@ -336,3 +338,36 @@
         balancer.path.on_client_datagram(data, None)
     assert balancer.counters.packets_malformed == 2
     assert not balancer.sent()
+
+
+def test_an_unknown_reason_of_a_decline_is_counted(balancer):
+    data, ip = balancer.open(FLOW)
+    balancer.decline(ip, data, 99)
+    assert balancer.counters.packets_malformed == 1
+    assert not balancer.sent()
+
+
+@given(
+    datagram=strategies.builds(
+        flow_datagrams.FlowDecline,
+        strategies.integers(-1, 9),
+        strategies.binary(max_size=60),
+    )
+    | strategies.builds(
+        flow_datagrams.FlowStatus,
+        strategies.binary(max_size=20),
+        strategies.integers(-1, 9),
+    )
+    | strategies.builds(
+        flow_datagrams.LoadReport,
+        *[strategies.integers()] * 2,
+        strategies.text(max_size=5),
+        *[strategies.integers()] * 3,
+        *[strategies.booleans()] * 3,
+    )
+)
+def test_any_datagram_of_an_agent_ends_nothing(datagram):
+    balancer = Balancer()
+    balancer.path.on_agent_datagram(datagram, '10.0.0.1')
+    balancer.client(FLOW, flow_support.OPEN)
+    assert balancer.sent() or datagram.datagram_code == 5
