--- a/deploy/bin/kingcupport-platform-agent.py
+++ b/deploy/bin/kingcupport-platform-agent.py
@@ -2,8 +2,7 @@
 
 import gc
 
-# Nothing that an import makes is garbage, and looking for it takes a tenth
-# of the time that a start needs.
+# Nothing that an import makes is garbage; looking for it delays the start.
 gc.disable()
 
 from kingcupport.platform import agent_program  # noqa: E402
--- a/packages/balancer/src/kingcupport/balancer/flow_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_sync.py
@@ -11,7 +11,8 @@
 
 # How often a balancer tells its peers and its agents that it is there.
 GREETING_INTERVAL_MS = 500
-# Greetings of one round; 6 a second of 100 bytes stay below 1 KB/s.
+# Greetings of one round; 6 a second of 201 bytes are 1.2 KB/s, and as much
+# for the replies.
 MAX_GREETED_PEERS = 3
 # A reader tells of a reading at once; of a change to all that it knows.
 MAX_TOLD_PEERS = 32
--- a/packages/balancer/src/kingcupport/balancer/flow_view_exchange.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_exchange.py
@@ -1,7 +1,7 @@
 """Exchanges views between balancers over TCP.
 
-Loaded after the balancer has begun to serve: together with what it imports
-it takes a tenth of the time that a balancer needs to start.
+Loaded after the balancer has begun to serve, because its imports would delay
+the start.
 """
 
 import collections
--- a/packages/observability/src/kingcupport/observability/decision_log.py
+++ b/packages/observability/src/kingcupport/observability/decision_log.py
@@ -4,8 +4,7 @@
 
 LOG = logging.getLogger('kingcupport.decisions')
 
-# Lines a second; a balancer places 70 flows a second at the planned size, and
-# a line costs about 40 us.
+# Lines a second; a balancer places 70 flows a second at the planned size.
 LINES_PER_S = 300
 
 
