Ask withdrawn agents for connections before a reset

Cause: an agent that gets a packet of an unknown connection asked the previous fleet's first owner and the present candidates only. Change: the previous fleet's candidates are asked last.

--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -244,10 +244,17 @@
     def _on_unknown(self, envelope, packet):
         if self._follow_redirect(envelope, packet):
             return
+        connection_id = packet.connection_id
         previous = self._previous_tables.table(self._service)
-        candidates = self._candidates(packet.connection_id)
+        candidates = self._candidates(connection_id)
         if previous is not None:
-            candidates = (previous.owner(packet.connection_id), *candidates)
+            # An agent that was withdrawn keeps its connections until it has
+            # handed them over, also those whose bucket it did not own.
+            candidates = (
+                previous.owner(connection_id),
+                *candidates,
+                *previous.candidates(connection_id, MAX_ASKED_AGENTS),
+            )
         self._pass_to_next(envelope, packet, candidates)
 
     def _candidates(self, connection_id):
--- a/tests/agent/test_data_path.py
+++ b/tests/agent/test_data_path.py
@@ -138,6 +138,24 @@
     assert bed.passed_to() == [(left, [previous, 'a'])]
 
 
+def test_withdrawn_agent_is_asked_before_a_reset(bed):
+    """It owned no bucket of the connection, which had been placed there."""
+    path = bed.agent.data_path
+    previous = path._tables.table('gate')
+    connection_id = next(
+        i
+        for i in range(1000)
+        if previous.owner(i) != 'd'
+        and 'd' in previous.candidates(i, data_path.MAX_ASKED_AGENTS)
+    )
+    bed.simulation.publish(('a', 'b', 'c'))
+    bed.deliver(_KIND.DATA, ('b', 'c'), connection_id=connection_id)
+    assert bed.passed_to() == [('d', ['b', 'c', 'a'])]
+    assert bed.answers() == []
+    bed.deliver(_KIND.DATA, ('b', 'c', 'd'), connection_id=connection_id)
+    assert bed.answers() == [_KIND.RESET]
+
+
 def test_connection_that_nobody_owns_is_reset_at_once(bed):
     """Guards against callers that wait for a connection that is lost."""
     bed.deliver(_KIND.DATA, ('b', 'c', 'd'))
