--- a/tests/fault_support.py
+++ b/tests/fault_support.py
@@ -3,12 +3,15 @@
 import gevent
 
 from kingcupport.standins import fault_bed
+from kingcupport.standins import process_probe
 
 START_TIMEOUT_MS = fault_bed.START_TIMEOUT_MS
 IN_FORCE_LIMIT_MS = fault_bed.IN_FORCE_LIMIT_MS
 SEED = fault_bed.SEED
 # After that a withdrawn backend server gets no new work (design.md 1.3).
 NO_NEW_WORK_AFTER_MS = 3_000
+# An agent closes its ports and ends.
+END_TIMEOUT_MS = 5_000
 
 
 def sleep_ms(duration_ms):
@@ -31,3 +34,27 @@
     assert_safe(report)
     assert report.connections_broken == 0, report.first_errors
     assert report.lost == 0, report.first_errors
+
+
+def assert_gives_all_away(bed, member):
+    """Wait until a withdrawn agent owns no connection; it gave some away.
+
+    To be called while the agent drains: it ends 15 s after its drain, and
+    its metrics with it.
+    """
+    deadline_ms = bed.clock.monotonic_ms() + IN_FORCE_LIMIT_MS
+    while bed.metric(member, 'connections'):
+        assert bed.clock.monotonic_ms() < deadline_ms
+        sleep_ms(100)
+    assert bed.metric(member, 'handed_over_total') > 0
+
+
+def assert_ends_empty(bed, member):
+    """Wait for the end of a withdrawn agent that took nothing back."""
+    while bed.group.running(member.name):
+        try:
+            assert bed.metric(member, 'connections') == 0
+        except process_probe.ProbeError:
+            break
+        sleep_ms(500)
+    assert bed.group.wait(member.name, END_TIMEOUT_MS) == 0
