Refuse late flows when their wait ends, and when too many wait

Ruled out: longer waits. Change: a late flow that finds no room at the end of its wait is refused, its client may try again at once; one that can still be in time goes to a queue as before; when 128 flows wait, the next is refused at once instead of queued. The openings at an agent whose port is closed are placed again at once instead of after 100 ms.

--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -25,6 +25,7 @@
 # second open at a balancer of the planned size, and a view takes about 50 ms.
 MAX_EARLY_PACKETS = 256
 
+NO_ROOM = 'no server has room in time'
 _DECLINE_REASONS = frozenset(flow_datagrams.DeclineReason)
 
 
@@ -139,24 +140,35 @@
             self._on_decline(ip, datagram)
 
     def on_unreachable(self, destination):
-        """Avoid an agent whose port is closed."""
-        if destination[1] == self._settings.agent_port:
-            self.loads.avoid(destination[0])
+        """Avoid an agent whose port is closed and place its openings again."""
+        ip, port = destination
+        if port != self._settings.agent_port:
+            return
+        self.loads.avoid(ip)
+        for _, flow, server_name in list(self._openings):
+            entry = self._unaccepted(flow, server_name)
+            if entry is not None and entry.ip == ip:
+                self._place_again(entry, 'agent is gone')
 
     def check_openings(self):
         """Place the flows again that no server has accepted in time."""
         now_ms = self._clock.monotonic_ms()
         while self._openings and self._openings[0][0] <= now_ms:
             _, flow, server_name = self._openings.popleft()
-            entry = self.table.get(flow)
-            if (
-                entry is None
-                or entry.is_accepted
-                or entry.server_name != server_name
-            ):
-                continue
-            self.loads.avoid(entry.ip)
-            self._place_again(entry, 'no answer')
+            entry = self._unaccepted(flow, server_name)
+            if entry is not None:
+                self.loads.avoid(entry.ip)
+                self._place_again(entry, 'no answer')
+
+    def _unaccepted(self, flow, server_name):
+        entry = self.table.get(flow)
+        if (
+            entry is None
+            or entry.is_accepted
+            or entry.server_name != server_name
+        ):
+            return None
+        return entry
 
     def drop_expired(self):
         """Drop what is over; called every few seconds."""
@@ -192,12 +204,21 @@
             self._refusals.refuse(packet, 'no server takes flows', service)
             return
         limit = self._placement.slot_limit(server)
-        if limit is None and self.waiting.put(
-            packet.flow, service, data, route
-        ):
+        if limit is not None:
+            self._send_placed(packet.flow, server, data, limit)
+        elif self.waiting.put(packet.flow, service, data, route):
             self._counters.flows_waiting += 1
-            return
-        self._send_placed(packet.flow, server, data, limit or 0)
+        else:
+            self._refuse_busy(packet, service, 0)
+
+    def _refuse_busy(self, packet, service, waited_ms):
+        self._refusals.refuse(
+            packet,
+            NO_ROOM,
+            service,
+            waited_ms=round(waited_ms),
+            waiting=len(self.waiting),
+        )
 
     def _place_waiting(self, service):
         while True:
@@ -224,10 +245,18 @@
         self._send_placed(opening.flow, server, opening.data, limit, waited_ms)
 
     def check_waiting(self):
-        """Send flows that have waited long to a server's own queue."""
+        """Decide on the flows that have waited as long as they may."""
         for opening in self.waiting.pop_due():
             server = self._choose(opening.flow, opening.service, ())
-            self._place_opening(opening, server, 0)
+            limit = 0
+            if server is not None:
+                limit = self._placement.limit_after_wait(opening, server)
+            if limit is None:
+                packet = self._format.read_from_client(opening.data)
+                waited_ms = self._clock.monotonic_ms() - opening.since_ms
+                self._refuse_busy(packet, opening.service, waited_ms)
+            else:
+                self._place_opening(opening, server, limit)
 
     def _send_placed(self, flow, server, data, limit, waited_ms=0):
         entry = self.table.put(flow, server, opening_data=data)
--- a/packages/balancer/src/kingcupport/balancer/flow_refusals.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_refusals.py
@@ -30,16 +30,17 @@
         age_ms = self._view.age_ms()
         return age_ms is not None and age_ms <= FRESH_VIEW_MS
 
-    def refuse(self, packet, reason, service):
+    def refuse(self, packet, reason, service, **inputs):
         """Refuse a flow at once.
 
         Args:
             packet: FlowPacket of the client.
             reason: One line for the log.
             service: Name of its service, or None.
+            inputs: What else the decision rests on, for the log.
         """
         self._counters.flows_refused += 1
-        self.reset(packet, reason, service)
+        self.reset(packet, reason, service, **inputs)
 
     def refuse_without_route(self, packet):
         """Refuse a flow to an address without a route, if that is certain.
@@ -56,13 +57,14 @@
         self.refuse(packet, 'no route', None)
         return True
 
-    def reset(self, packet, reason, subject):
+    def reset(self, packet, reason, subject, **inputs):
         """End a flow.
 
         Args:
             packet: FlowPacket of the client.
             reason: One line for the log.
             subject: Name of the service or server that it is about.
+            inputs: What else the decision rests on, for the log.
         """
         self._counters.resets_sent += 1
         self._decisions.write(
@@ -74,6 +76,7 @@
                 'subject': subject,
                 'version': self._view.configuration.version,
                 'view_age_ms': self.view_age_ms(),
+                **inputs,
             },
         )
         self._send_to_client(
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -93,6 +93,23 @@
             return limit
         return None
 
+    def limit_after_wait(self, opening, server):
+        """Return how a flow goes on that has waited as long as it may.
+
+        Args:
+            opening: WaitingOpening.
+            server: FlowServer that was chosen.
+
+        Returns:
+            The slot limit to send it with, 0 for the queue of the server, or
+            None to refuse it. In the queue of a busy server a flow that is
+            late already would only make those behind it late as well; its
+            client may try again at once.
+        """
+        if opening.start_by_ms > self._clock.monotonic_ms():
+            return 0
+        return self.slot_limit(server)
+
     def _has_straggler(self, load):
         age_ms = self._clock.monotonic_ms() - load.oldest_since_ms
         return load.running > 0 and age_ms > STRAGGLER_AGE_MS
