Explain a failed request by kingcupport explain

Ruled out: asking running processes; they keep no history, and may be gone. Change: observability reads log lines back (log_line) and finds those of a request, its flow and the changes of belief around them (request_trace); the command prints them in order. The program code of balancer and agent is unchanged.

--- a/packages/cli/src/kingcupport/cli/application.py
+++ b/packages/cli/src/kingcupport/cli/application.py
@@ -11,6 +11,7 @@
 from kingcupport.cli import _command
 from kingcupport.cli import audit_command
 from kingcupport.cli import exit_code
+from kingcupport.cli import explain_command
 from kingcupport.cli import input_error
 from kingcupport.cli import note_check_command
 from kingcupport.cli import note_compose_command
@@ -29,6 +30,7 @@
     status_command.StatusCommand,
     route_explain_command.RouteExplainCommand,
     audit_command.AuditCommand,
+    explain_command.ExplainCommand,
 )
 
 
--- a/packages/cli/src/kingcupport/cli/input_files.py
+++ b/packages/cli/src/kingcupport/cli/input_files.py
@@ -11,14 +11,18 @@
 from kingcupport.fleet import source_lines
 
 
-def read_text(path):
+def read_text(path, errors='strict'):
     """Return the text of a file.
 
+    Args:
+        path: Path of the file.
+        errors: What becomes of bytes that are not UTF-8, as for ``open``.
+
     Raises:
         InputError: The file cannot be read or is not UTF-8.
     """
     try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
+        return pathlib.Path(path).read_text('utf-8', errors)
     except OSError as error:
         raise input_error.InputError(path, error.strerror) from None
     except ValueError:
--- a/packages/standins/src/kingcupport/standins/process_group.py
+++ b/packages/standins/src/kingcupport/standins/process_group.py
@@ -132,7 +132,8 @@
         while process.poll() is None:
             if self._clock.monotonic_ms() >= deadline_ms:
                 raise ProcessError(
-                    f'has not ended after {timeout_ms} ms',
+                    f'has not ended after {timeout_ms} ms, '
+                    f'state {_read_state(process.pid)}',
                     step='wait',
                     peer=name,
                 )
@@ -154,3 +155,12 @@
             gevent.sleep(POLL_MS / 1000)
         for name in filter(self.running, running):
             self.kill(name)
+
+
+def _read_state(process_id):
+    """Return the state letter of proc(5), to tell a hang from a pause."""
+    try:
+        text = pathlib.Path(f'/proc/{process_id}/stat').read_text()
+    except OSError:
+        return 'unknown'
+    return text.rpartition(')')[2].split()[0]
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -169,12 +169,19 @@
 
 
 class FlowServer:
-    """A server of flows: one request a flow, one packet an answer."""
+    """A server of flows: one request a flow, one packet an answer.
+
+    Attributes:
+        is_stuck: Whether requests are taken and never answered.
+        is_leaving: Whether new flows are reset.
+    """
 
     def __init__(self, ip, ports):
         self.name = f'server {ip}'
         self.flows = {}
         self.requests = []
+        self.is_stuck = False
+        self.is_leaving = False
         self._sock = gevent.socket.socket(
             gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM
         )
@@ -190,12 +197,16 @@
     def _run(self):
         while True:
             data, _ = self._sock.recvfrom(65_536)
-            self._sock.sendto(self._handle(data), self._outbound)
+            answer = self._handle(data)
+            if answer is not None:
+                self._sock.sendto(answer, self._outbound)
 
     def _handle(self, data):
         client, own = read_ends(data)
         seq = int.from_bytes(data[16:20])
         flags, payload = data[0], data[HEADER:]
+        if flags == SYN and self.is_leaving:
+            return make_packet(own, client, RST | ACK, ack=seq + 1)
         if flags == SYN:
             first = self.flows.setdefault(client, next(self._sequence))
             return make_packet(own, client, SYN | ACK, seq=first, ack=seq + 1)
@@ -205,6 +216,8 @@
         if not payload:
             return make_packet(own, client, ACK, seq=first + 1, ack=seq)
         self.requests.append(payload)
+        if self.is_stuck:
+            return None
         answer = b'HTTP/1.1 200 OK\r\n\r\n' + payload
         return make_packet(
             own,
--- /dev/null
+++ b/tests/platform/test_explained_failures.py
@@ -0,0 +1,114 @@
+"""Follows failed requests from their id to the cause, as operators do.
+
+The commands are those of docs/OPERATIONS.md, on the logs of real processes.
+"""
+
+import cli_support
+import gevent
+import platform_standin
+
+CONFIG_MS = 3_000
+NEW_BOOT_UTC_MS = 2_000_000_000_000
+_REQUEST = b'GET / HTTP/1.1\r\nX-Kingcupport-Request-Id: %s\r\n\r\n'
+
+
+def _explain(bed, identity):
+    logs = [p.path.with_suffix('.log') for p in bed.processes.values()]
+    result = cli_support.run('explain', identity, *logs, '--json')
+    assert result.exit_code == 0, result
+    return result.document
+
+
+def _find(lines, event, **fields):
+    return [
+        line
+        for line in lines
+        if line['event'] == event
+        and all(line['fields'].get(k) == v for k, v in fields.items())
+    ]
+
+
+def _name(client):
+    return '{}:{}'.format(*client.end)
+
+
+def test_a_flow_that_was_refused_at_a_crest(bed):
+    for server in bed.servers.values():
+        server.is_stuck = True
+    for number in range(6):
+        busy = bed.client()
+        answer = busy.open(timeout_ms=200)
+        if answer is not None and not answer[0] & platform_standin.RST:
+            busy.request(_REQUEST % b'busy-%d' % number, tries=1)
+    client = bed.client()
+    answer = client.open()
+    assert answer[0] & platform_standin.RST
+    found = _explain(bed, _name(client))
+    (refusal,) = _find(
+        found['request'],
+        'flow reset',
+        reason='no server has room in time',
+        subject='gate',
+    )
+    assert int(refusal['fields']['waited_ms']) >= 200
+    assert int(refusal['fields']['view_age_ms']) < 2_500
+
+
+def test_an_open_flow_that_was_lost_with_its_server(bed):
+    client = bed.client()
+    client.open()
+    holder = next(ip for ip, s in bed.servers.items() if client.end in s.flows)
+    bed.servers[holder].is_stuck = True
+    assert client.request(_REQUEST % b'lost-1', tries=1) is None
+    bed.servers[holder].stop()
+    bed.servers[holder] = platform_standin.FlowServer(holder, bed.ports)
+    name = f'i-{holder.rpartition(".")[2]}'
+    bed.store.put_server(name, holder, bed.ports['app'], born=NEW_BOOT_UTC_MS)
+    gevent.sleep(CONFIG_MS / 1000)
+    assert client.request(b'again', tries=5) == 'reset'
+    found = _explain(bed, 'lost-1')
+    assert _find(found['request'], 'request delivered', request='lost-1')
+    assert not _find(found['request'], 'request answered')
+    assert _find(
+        found['request'],
+        'flow reset',
+        reason='server has lost the flow',
+        subject=holder,
+    )
+    assert _find(
+        found['beliefs'],
+        'audit',
+        audit_kind='server_changed',
+        server=name,
+        boot_utc_ms=str(NEW_BOOT_UTC_MS),
+    )
+
+
+def test_a_flow_that_was_sent_to_a_server_that_was_leaving(bed):
+    bed.store.is_silent = True
+    gevent.sleep(1.5)
+    for server in bed.servers.values():
+        server.is_leaving = True
+    client = bed.client()
+    answer = client.open()
+    assert answer[0] & platform_standin.RST
+    for number in (1, 2):
+        bed.store.put_server(
+            f'i-{number}',
+            f'127.0.1.{number}',
+            bed.ports['app'],
+            state='draining',
+        )
+    bed.store.is_silent = False
+    gevent.sleep(CONFIG_MS / 1000)
+    found = _explain(bed, _name(client))
+    placed = _find(found['request'], 'flow placed')[-1]
+    assert int(placed['fields']['view_age_ms']) >= 1_000
+    changes = _find(
+        found['beliefs'],
+        'audit',
+        audit_kind='server_changed',
+        server=placed['fields']['server'],
+        draining='true',
+    )
+    assert changes[0]['utc_ms'] > placed['utc_ms']
--- a/tests/standins/test_process_group.py
+++ b/tests/standins/test_process_group.py
@@ -76,6 +76,14 @@
         group.wait('sleeper', 100)
 
 
+def test_the_state_of_a_process_that_does_not_end_is_told(group):
+    _start_sleeper(group)
+    group.pause('sleeper')
+    gevent.sleep(0.1)
+    with pytest.raises(process_group.ProcessError, match='state T'):
+        group.wait('sleeper', 100)
+
+
 def test_log_goes_on_after_a_new_start(group):
     for _ in range(2):
         group.start('help', 'kingcupport.standins', '--version')
