--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -152,6 +152,9 @@
         )
         if packet.is_open:
             self._on_opening()
+            if held.is_held:
+                # The balancer has not learned it yet, or it is another one.
+                self._tell_held(packet.flow, source)
 
     def _reason_to_decline(self, envelope, packet):
         if envelope.service not in ('', self._settings.service):
@@ -190,18 +193,19 @@
         held, is_first, took_ms = self.held.on_server_packet(packet, status)
         if is_first and held.balancer is not None:
             self._counters.flows_accepted += 1
-            accepted = flow_datagrams.FlowStatus(
-                packet.flow, int(flow_datagrams.Holding.YES)
-            )
-            self._send_to_balancer(
-                flow_datagrams.encode(accepted), held.balancer
-            )
+            self._tell_held(packet.flow, held.balancer)
         if took_ms is not None:
             self._note_answer(held, packet, status, took_ms)
         self._counters.packets_to_clients += 1
         self._send_to_client(data, self._format.client_address(packet.flow))
         return held.balancer
 
+    def _tell_held(self, flow, balancer):
+        status = flow_datagrams.FlowStatus(
+            flow, int(flow_datagrams.Holding.YES)
+        )
+        self._send_to_balancer(flow_datagrams.encode(status), balancer)
+
     def _note_answer(self, held, packet, status, took_ms):
         self._counters.answers += 1
         self._decisions.write(
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -225,6 +225,8 @@
             opening = self.waiting.pop(service)
             if opening is None:
                 return
+            if self._has_opened(opening):
+                continue
             server = self._choose(opening.flow, service, ())
             limit = 0
             if server is not None:
@@ -234,6 +236,18 @@
                 return
             self._place_opening(opening, server, limit)
 
+    def _has_opened(self, opening):
+        """Whether a waiting packet is a copy of one that was accepted.
+
+        A balancer that was paused may read a copy just before later packets
+        of the flow, by which it finds the server.
+        """
+        entry = self.table.get(opening.flow)
+        if entry is None or not entry.is_accepted:
+            return False
+        self._counters.copies_ignored += 1
+        return True
+
     def _place_opening(self, opening, server, limit):
         if server is None:
             packet = self._format.read_from_client(opening.data)
@@ -247,6 +261,8 @@
     def check_waiting(self):
         """Decide on the flows that have waited as long as they may."""
         for opening in self.waiting.pop_due():
+            if self._has_opened(opening):
+                continue
             server = self._choose(opening.flow, opening.service, ())
             limit = 0
             if server is not None:
--- a/tests/agent/test_flow_data_path.py
+++ b/tests/agent/test_flow_data_path.py
@@ -74,6 +74,24 @@
     return Agent()
 
 
+def test_every_balancer_learns_that_the_server_holds_a_flow(agent):
+    """Also one that sends another copy of the opening packet."""
+    agent.deliver(FORMAT.make(FLOW, flags=flow_support.OPEN))
+    agent.server(
+        FORMAT.make(FLOW, from_client=False, flags=flow_support.OPEN_ANSWER)
+    )
+    agent.to_balancers.clear()
+    other = ('10.1.0.2', 7720)
+    agent.deliver(FORMAT.make(FLOW, flags=flow_support.OPEN), source=other)
+    ((status, to),) = [
+        (d, to)
+        for d, to in agent.to_balancers
+        if isinstance(d, flow_datagrams.FlowStatus)
+    ]
+    assert to == other
+    assert status.holding == flow_datagrams.Holding.YES
+
+
 @given(
     flags=strategies.integers(0, 127),
     payload=strategies.binary(max_size=1_200),
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -215,6 +215,23 @@
     assert [packet.flow for packet in balancer.resets()] == [FLOW]
 
 
+def test_a_waiting_copy_of_a_flow_that_was_found_is_dropped(balancer):
+    """A balancer that was paused reads a copy after the flow's data."""
+    for server in balancer.servers:
+        balancer.report(server.ip, running=2)
+    balancer.client(FLOW, flow_support.OPEN)
+    other = balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.NO)
+    balancer.status('10.0.0.1', FLOW, flow_datagrams.Holding.YES)
+    assert [e.packet_data for e, _ in balancer.sent()] == [other]
+    balancer.report('10.0.0.0', running=0)
+    balancer.clock.advance(opening_queue.MAX_WAIT_MS)
+    balancer.path.check_waiting()
+    balancer.path.check_openings()
+    assert not balancer.sent()
+    assert not balancer.resets()
+
+
 def test_an_opening_that_can_be_in_time_goes_to_a_queue(balancer):
     balancer.read(version=2, target_ms=500)
     for server in balancer.servers:
