Wait for all agents in the whole-path tests; drain in calm in the soak

Cause: the bed waited for the balancers and one answer only. In a kept log the second agent started 2 ms after the last of the 20 requests, which the first server had answered alone. Since openings at a closed port are placed again at once, these requests no longer wait for that agent. Ruled out: the choice of servers (i-2 was chosen, its port was closed). Change: the bed waits until all processes are ready and both balancers send requests to all servers; the test counts its own requests only.

The soak's check of drains could not fail in most seeds: faults that delay changes excluded it. Each seed ends with a drain in calm now.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -21,6 +21,8 @@
 # A change is in force within 3 s, and a machine starts in less than 2 s.
 RECOVERY_MS = 5_000
 REQUESTS_AFTER = 3
+# How long a drained server is watched at the end.
+CALM_DRAIN_MS = 1_500
 
 
 @attrs.define
@@ -87,6 +89,10 @@
             self._tasks += load
             self._inject_faults()
             gevent.sleep(RECOVERY_MS / 1000)
+            # One drain in calm, whatever the faults before delayed.
+            self._inject(
+                soak_faults.DrainedServer(self._bed, self._rng), CALM_DRAIN_MS
+            )
             for task in filter(gevent.Greenlet.ready, load):
                 self._break(f'a client has failed: {task.exception!r}')
             gevent.killall(load)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -6,12 +6,12 @@
 
 @pytest.fixture
 def bed(tmp_path):
-    """A Bed that serves requests."""
+    """A Bed all of whose balancers send requests to all servers."""
     bed = platform_bed.Bed(tmp_path)
     try:
-        assert bed.wait_until(lambda: bed.is_ready('127.0.2.1'))
-        assert bed.wait_until(lambda: bed.is_ready('127.0.2.2'))
-        assert bed.wait_until(lambda: bed.serve() is not None)
+        assert bed.wait_until(lambda: all(map(bed.is_ready, bed.processes)))
+        # A balancer prefers servers whose agents it has heard of.
+        assert bed.wait_until(bed.is_served_by_all)
         yield bed
     finally:
         bed.close()
--- a/tests/platform/platform_bed.py
+++ b/tests/platform/platform_bed.py
@@ -125,6 +125,19 @@
         finally:
             client.close()
 
+    def is_served_by_all(self):
+        """Return whether both balancers send requests to all servers."""
+        for balancer in (1, 2):
+            before = {ip: len(s.requests) for ip, s in self.servers.items()}
+            for _ in range(8):
+                self.serve(balancer)
+            if any(
+                len(self.servers[ip].requests) == count
+                for ip, count in before.items()
+            ):
+                return False
+        return True
+
     def wait_until(self, condition, limit_ms=START_MS):
         """Wait for a condition; return whether it came in time."""
         with gevent.Timeout(limit_ms / 1000, False):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -12,6 +12,8 @@
 
 
 def test_requests_are_served_by_both_servers_and_balancers(bed):
+    for server in bed.servers.values():
+        server.requests.clear()
     answers = [bed.serve(1 + n % 2) for n in range(20)]
     assert all(a.startswith(b'HTTP/1.1 200') for a in answers)
     assert all(server.requests for server in bed.servers.values())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,7 +25,12 @@
     )
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
+# Seeds that have failed, with the cause:
+# 9: a paused balancer placed an old copy of an opening of an open flow.
+_FAILED_BEFORE = (9,)
+
+
+@pytest.mark.parametrize('seed', [1, 2, *_FAILED_BEFORE])
 def test_the_promises_hold_under_faults(seed, tmp_path):
     done = _play(seed, tmp_path)
     assert done.returncode == 0, done.stdout + done.stderr
