Let the soak's last requests be retried; restart a server once at a time

Cause: all servers are tasks of the soak's process, which stalled on a machine with load 19: at 11:33:43.45 and .53 both agents of gate reported their servers silent, at .30 one of audio, and all were back at .69; a flow that no server answers for 60 ms is refused at once, as it should be, and its client retries. Ruled out: a fault that still lasted (the last had ended 10 s before). Change: the requests after the faults have a client's two retries. Cause: two overlapping restarts of the same server both opened its port. Change: a server that is down is not restarted.

--- a/soak/soak_bed.py
+++ b/soak/soak_bed.py
@@ -29,6 +29,7 @@
         # Servers by request id.
         self.runs = {}
         self.restarted = set()
+        self.servers_down = set()
         # Servers that no new flow may reach, with the time from and until.
         self.drains = []
         self.version = 1
--- a/soak/soak_faults.py
+++ b/soak/soak_faults.py
@@ -107,9 +107,13 @@
         """Implement ``Fault.inject``."""
         number = self.rng.randint(1, len(self.bed.servers))
         ip = self.bed.server_ip(number)
+        if ip in self.bed.servers_down:
+            return
+        self.bed.servers_down.add(ip)
         self.bed.servers[ip].stop()
         gevent.sleep(duration_ms / 1000)
         self.bed.servers[ip] = self.bed.make_server(ip)
+        self.bed.servers_down.discard(ip)
         born = 2 * 10**12 + round(self.bed.clock.monotonic_ms())
         self.bed.put_server(number, born=born)
 
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -21,6 +21,9 @@
 # A change is in force within 3 s, and a machine starts in less than 2 s.
 RECOVERY_MS = 5_000
 REQUESTS_AFTER = 3
+# A client retries twice. All servers run in the process of the soak: when it
+# stalls for 60 ms, flows are rightly refused at once.
+ATTEMPTS = 3
 # How long a drained server is watched at the end.
 CALM_DRAIN_MS = 1_500
 
@@ -167,7 +170,10 @@
 
     def _check_recovery(self):
         for client in self._clients:
-            if client.run_flow(REQUESTS_AFTER) != REQUESTS_AFTER:
+            if not any(
+                client.run_flow(REQUESTS_AFTER) == REQUESTS_AFTER
+                for _ in range(ATTEMPTS)
+            ):
                 self._break('requests are not served after the faults')
 
     def _check_ends(self):
