Give a killed process 30 s to be gone

Cause: after SIGKILL nothing of the process runs any more; state D is the kernel's uninterruptible sleep. The 5 s were the time for a process to drain after SIGTERM, used for both. Ruled out: a handler that hangs (SIGKILL has none), a paused process (state T). Change: SIGKILL has a limit of its own; the one after SIGTERM stays.

--- a/packages/standins/src/kingcupport/standins/process_group.py
+++ b/packages/standins/src/kingcupport/standins/process_group.py
@@ -12,6 +12,9 @@
 
 POLL_MS = 20
 STOP_TIMEOUT_MS = 5_000
+# After SIGKILL only the kernel can delay the end: with three processes a core
+# one was in uninterruptible sleep for more than 5 s.
+KILL_TIMEOUT_MS = 30_000
 
 
 class ProcessError(errors.KingcupportError):
@@ -97,7 +100,7 @@
     def kill(self, name):
         """End a process at once (SIGKILL) and wait until it is gone."""
         self._signal(name, signal.SIGKILL)
-        self.wait(name, STOP_TIMEOUT_MS)
+        self.wait(name, KILL_TIMEOUT_MS)
 
     def pause(self, name):
         """Stop a process from running until ``resume`` (SIGSTOP)."""
