Keep the place ahead of a server's slots for flows that can be in time

Cause: after an outage of all balancers copies of old opening packets and new flows wait at different balancers. Each balancer puts its own new flows first, but a balancer that has only old copies took the place ahead of a server's slots from the new flows of the others.

Ruled out: more waiting for late flows.

Change: a flow that cannot be in time any more takes a slot that is free, never the place ahead. The simulated crest gains outages of all balancers, clients' copies and the answers to greetings; without the answers a silence of 1.3 s made servers unusable for good, which the product's greetings prevent.

--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -203,8 +203,11 @@
         if server is None:
             self._refusals.refuse(packet, 'no server takes flows', service)
             return
-        limit = self._placement.slot_limit(server)
-        opened_ms = self._clock.monotonic_ms() - packet.opening_age_ms
+        now_ms = self._clock.monotonic_ms()
+        opened_ms = now_ms - packet.opening_age_ms
+        limit = self._placement.slot_limit(
+            server, opening_queue.start_by_ms(route, opened_ms) <= now_ms
+        )
         if limit is not None:
             self._send_placed(packet.flow, server, data, limit, opened_ms)
         elif self.waiting.put(packet.flow, service, data, route, opened_ms):
@@ -231,7 +234,9 @@
             server = self._choose(opening.flow, service, ())
             limit = 0
             if server is not None:
-                limit = self._placement.slot_limit(server)
+                limit = self._placement.slot_limit(
+                    server, self.waiting.is_late(opening)
+                )
             if limit is None:
                 self.waiting.put_back(opening)
                 return
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -71,11 +71,14 @@
             return None
         return min(pool, key=lambda server: self._rank(flow, server))
 
-    def slot_limit(self, server):
+    def slot_limit(self, server, is_late=False):
         """Return how many requests a server may have when a flow arrives.
 
         Args:
             server: FlowServer that was chosen.
+            is_late: Whether the flow cannot be in time any more. It then
+                leaves the place ahead of the slots to flows that can,
+                whichever balancer they come from.
 
         Returns:
             A number of requests, or None when the flow is better off waiting
@@ -88,6 +91,8 @@
         if not load.is_exact or not self._loads.is_usable(server.ip):
             # No report tells when the server has room.
             return 0
+        if is_late:
+            return None
         limit = server.slots + opening_queue.FLOWS_AHEAD
         if running < limit and not self._has_straggler(load):
             return limit
@@ -108,7 +113,7 @@
         """
         if opening.start_by_ms > self._clock.monotonic_ms():
             return 0
-        return self.slot_limit(server)
+        return self.slot_limit(server, is_late=True)
 
     def _has_straggler(self, load):
         age_ms = self._clock.monotonic_ms() - load.oldest_since_ms
--- a/packages/flows/src/kingcupport/flows/opening_queue.py
+++ b/packages/flows/src/kingcupport/flows/opening_queue.py
@@ -58,6 +58,16 @@
     deadline_ms: float
 
 
+def start_by_ms(route, opened_ms):
+    """Return until when a flow can start so that its request is in time.
+
+    Args:
+        route: FlowRoute that it came by.
+        opened_ms: When its client sent the first copy, on the monotonic clock.
+    """
+    return opened_ms + TARGET_SHARE * (route.target_ms or DEFAULT_TARGET_MS)
+
+
 class OpeningQueue:
     """Waiting opening packets, by service.
 
@@ -100,7 +110,6 @@
         now_ms = self._clock.monotonic_ms()
         if opened_ms is None:
             opened_ms = now_ms
-        target_ms = route.target_ms or DEFAULT_TARGET_MS
         timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
         self.put_back(
             WaitingOpening(
@@ -110,7 +119,7 @@
                 route.priority,
                 now_ms,
                 opened_ms,
-                opened_ms + TARGET_SHARE * target_ms,
+                start_by_ms(route, opened_ms),
                 now_ms + min(TIMEOUT_SHARE * timeout_ms, MAX_WAIT_MS),
             )
         )
@@ -125,6 +134,10 @@
         self._waiting[opening.flow] = opening
         self._push(self._timely, opening)
 
+    def is_late(self, opening):
+        """Whether the request of a WaitingOpening cannot be in time."""
+        return opening.start_by_ms <= self._clock.monotonic_ms()
+
     def pop(self, service):
         """Return the packet of a service that goes first, or None.
 
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -204,6 +204,39 @@
     assert ip == '10.0.0.1'
 
 
+def test_an_old_copy_leaves_the_place_ahead_to_new_flows(balancer):
+    """After an outage copies of old openings arrive with new flows."""
+    for server in balancer.servers:
+        balancer.report(server.ip, running=1)
+    balancer.client(FLOW, flow_support.OPEN, acknowledged=600)
+    assert not balancer.sent()
+    other = balancer.client(flow_support.make_flow(2), flow_support.OPEN)
+    assert [e.packet_data for e, _ in balancer.sent()] == [other]
+
+
+def test_a_new_flow_is_placed_before_an_old_copy(balancer):
+    for server in balancer.servers:
+        balancer.report(server.ip, running=2)
+    copy = balancer.client(FLOW, flow_support.OPEN, acknowledged=200)
+    new = balancer.client(flow_support.make_flow(2), flow_support.OPEN)
+    balancer.report('10.0.0.1', running=0)
+    assert [e.packet_data for e, _ in balancer.sent()] == [new]
+    balancer.report('10.0.0.0', running=0)
+    assert [e.packet_data for e, _ in balancer.sent()] == [copy]
+
+
+def test_a_flow_that_a_busy_server_gives_back_keeps_its_age(balancer):
+    data, ip = balancer.open(FLOW)
+    balancer.clock.advance(100)
+    for server in balancer.servers:
+        balancer.report(server.ip, running=2)
+    balancer.decline(ip, data, flow_datagrams.DeclineReason.BUSY)
+    new = balancer.client(flow_support.make_flow(2), flow_support.OPEN)
+    balancer.clock.advance(50)
+    balancer.report('10.0.0.1', running=0)
+    assert [e.packet_data for e, _ in balancer.sent()] == [new]
+
+
 def test_a_late_opening_waits_no_longer_than_200_ms(balancer):
     """It is refused then: the queues of busy servers only grow by it."""
     for server in balancer.servers:
--- a/tests/flows/test_flow_placement.py
+++ b/tests/flows/test_flow_placement.py
@@ -22,8 +22,13 @@
 # the client before a server can begin.
 HOP_MS = 1.0
 HANDSHAKE_MS = 4.0
+# Balancers greet agents and check waiting flows so often.
+GREETING_INTERVAL_MS = 500
+CHECK_MS = 40
 TARGET_MS = 100.0
 REQUESTS = 6_000
+# A client sends its opening packet so long after the first copy.
+COPY_AGES_MS = (0, 200, 600)
 # A late answer is worth 0.3 of one in time; the users ask for a mean worth of
 # 0.90, from which prices of 0.05 have been taken off.
 LATE_WORTH = 0.3
@@ -59,25 +64,29 @@
         seed: Seed of all random numbers.
         policy: ``waits`` for the shipped one, ``commits`` to send each flow
             to the best server at once, ``random``.
+        balancers: Number of balancers.
+        knows_ages: Whether balancers use the age of an opening packet.
+        dark_ms: Until when all balancers are down.
     """
 
-    def __init__(self, seed, policy, balancers=6):
+    def __init__(self, seed, policy, balancers=6, knows_ages=True, dark_ms=0):
         self.rng = random.Random(seed)
         self.clock = flow_support.make_clock()
         self.policy = policy
+        self.knows_ages = knows_ages
         self.entries = [flow_support.make_server(i) for i in range(SERVERS)]
         self.servers = {entry.ip: Server(entry) for entry in self.entries}
         self.balancers = [Balancer(self.clock) for _ in range(balancers)]
         self.route = flow_route.FlowRoute(
             'r', flow_support.GATE, (('gate', 1),), target_ms=int(TARGET_MS)
         )
+        self.dark_ms = dark_ms
         self.events = []
         self.order = itertools.count()
         self.since_ms = {}
-        self.times_ms = []
+        self.times_ms = {}
         self.refused_count = 0
-        for server in self.servers.values():
-            self.report(server)
+        self.report_all()
 
     def after(self, delay_ms, action, *arguments):
         time_ms = self.clock.monotonic_ms() + delay_ms
@@ -85,6 +94,13 @@
             self.events, (time_ms, next(self.order), action, arguments)
         )
 
+    def report_all(self):
+        """Answer the greetings of all balancers."""
+        for server in self.servers.values():
+            self.report(server)
+        if self.is_playing:
+            self.after(GREETING_INTERVAL_MS, self.report_all)
+
     def report(self, server):
         age_ms = 0
         if server.running is not None:
@@ -107,20 +123,27 @@
         balancer.loads.on_report(server.entry.ip, report)
         self.place_waiting(balancer)
 
-    def open(self, flow):
-        self.since_ms[flow] = self.clock.monotonic_ms()
+    def open(self, flow, age_ms=0):
+        now_ms = self.clock.monotonic_ms()
+        self.since_ms[flow] = now_ms - age_ms
+        opened_ms = now_ms - age_ms if self.knows_ages else now_ms
         balancer = self.rng.choice(self.balancers)
-        if not self.send(balancer, flow) and not balancer.waiting.put(
-            flow, 'gate', b'', self.route
+        is_late = age_ms > opening_queue.TARGET_SHARE * TARGET_MS
+        if not self.send(
+            balancer, flow, is_late=is_late
+        ) and not balancer.waiting.put(
+            flow, 'gate', b'', self.route, opened_ms
         ):
             self.refuse(flow)
 
-    def send(self, balancer, flow, limit=None):
+    def send(self, balancer, flow, limit=None, is_late=False):
         server = balancer.placement.choose(flow, self.entries)
         if self.policy == 'random':
             server = self.rng.choice(self.entries)
         if limit is None:
-            limit = balancer.placement.slot_limit(server)
+            limit = balancer.placement.slot_limit(
+                server, is_late and self.knows_ages
+            )
         if self.policy != 'waits':
             limit = 0
         if limit is None:
@@ -132,7 +155,8 @@
     def place_waiting(self, balancer):
         opening = balancer.waiting.pop('gate')
         while opening is not None:
-            if not self.send(balancer, opening.flow):
+            is_late = balancer.waiting.is_late(opening)
+            if not self.send(balancer, opening.flow, is_late=is_late):
                 balancer.waiting.put_back(opening)
                 return
             opening = balancer.waiting.pop('gate')
@@ -146,13 +170,17 @@
                     self.refuse(opening.flow)
                 else:
                     self.send(balancer, opening.flow, limit)
-        if self.events:
-            self.after(40, self.check_waiting)
+        if self.is_playing:
+            self.after(CHECK_MS, self.check_waiting)
+
+    @property
+    def is_playing(self):
+        return len(self.times_ms) < REQUESTS
 
     def refuse(self, flow):
         """Count a flow as late whatever its client does next."""
         self.refused_count += 1
-        self.times_ms.append(math.inf)
+        self.times_ms[flow] = math.inf
 
     def arrive(self, balancer, ip, flow, limit):
         server = self.servers[ip]
@@ -186,7 +214,7 @@
 
     def finish(self, server, flow, work_ms):
         waited_ms = self.clock.monotonic_ms() - self.since_ms[flow] - work_ms
-        self.times_ms.append(waited_ms + WORK_MS)
+        self.times_ms[flow] = waited_ms + WORK_MS
         server.running = None
         server.flow_count -= 1
         self.run_next(server)
@@ -197,8 +225,8 @@
         delay_ms = 10.0
         for number in range(REQUESTS):
             delay_ms += self.rng.expovariate(SERVERS * load / mean_work_ms)
-            self.after(delay_ms, self.open, flow_support.make_flow(number))
-        self.after(40, self.check_waiting)
+            self.open_later(delay_ms, flow_support.make_flow(number))
+        self.after(CHECK_MS, self.check_waiting)
         while self.events:
             time_ms, _, action, arguments = heapq.heappop(self.events)
             self.clock.sleep_until(time_ms)
@@ -206,8 +234,27 @@
         assert len(self.times_ms) == REQUESTS
         return self
 
+    def open_later(self, delay_ms, flow):
+        """Open a flow with the first copy that arrives after the outage."""
+        for age_ms in COPY_AGES_MS:
+            if delay_ms + age_ms >= self.dark_ms:
+                self.after(delay_ms + age_ms, self.open, flow, age_ms)
+                return
+        # The client has given up.
+        self.times_ms[flow] = math.inf
+
     def late_share(self):
-        return sum(t > TARGET_MS for t in self.times_ms) / REQUESTS
+        late = sum(t > TARGET_MS for t in self.times_ms.values())
+        return late / REQUESTS
+
+    def late_share_of(self, start_ms, end_ms):
+        """Return the late share of the flows opened in a period."""
+        times_ms = [
+            self.times_ms[flow]
+            for flow, since_ms in self.since_ms.items()
+            if start_ms <= since_ms < end_ms
+        ]
+        return sum(t > TARGET_MS for t in times_ms) / len(times_ms)
 
     def worth(self):
         return 1 - (1 - LATE_WORTH) * self.late_share()
@@ -245,6 +292,25 @@
     assert crest.refused_count / REQUESTS <= 1 - 1 / load + 0.05
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('dark_ms', [1_400, 2_200])
+@pytest.mark.parametrize('load', [0.6, 0.75, 0.85])
+def test_after_an_outage_new_flows_do_not_wait_behind_late_ones(
+    load, dark_ms, seed
+):
+    """Copies of openings from the outage arrive together with new flows."""
+    late_shares = []
+    for knows_ages in (True, False):
+        crest = Crest(seed, 'waits', knows_ages=knows_ages, dark_ms=dark_ms)
+        end_ms = crest.clock.monotonic_ms() + dark_ms
+        crest.play(load)
+        late_shares.append(crest.late_share_of(end_ms, end_ms + 1_000))
+    with_ages, without = late_shares
+    assert with_ages <= without / 2
+    if load <= 0.6:
+        assert 1 - (1 - LATE_WORTH) * with_ages >= MIN_WORTH
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_nothing_is_refused_that_the_servers_can_serve(seed):
     assert Crest(seed, 'waits').play(0.85).refused_count == 0
