Split the opening packets off the balancer's data path

Ruled out: nothing to rule out; no behaviour is meant to change.

Change: FlowOpener places, queues and refuses opening packets; FlowDataPath keeps the packets of flows and the agents' answers. The lines "flow placed" and "flow reset" of a refusal gain opened_ago_ms.

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -194,8 +194,8 @@
     def _run_checks(self):
         while True:
             gevent.sleep(CHECK_MS / 1000)
-            self.data_path.check_openings()
-            self.data_path.check_waiting()
+            self.data_path.opener.check_openings()
+            self.data_path.opener.check_waiting()
             self.data_path.finder.check()
             self.sync.greet_agents(
                 self.data_path.loads, self.data_path.agent_ips
@@ -244,7 +244,7 @@
         age_ms = self.view.age_ms()
         return {
             'flows': self._flow_count(),
-            'openings_waiting': len(self.data_path.waiting),
+            'openings_waiting': len(self.data_path.opener.waiting),
             'searches_open': len(self.data_path.finder),
             'servers': len(self.view.servers),
             'configuration_version': self.view.configuration.version,
--- /dev/null
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -0,0 +1,311 @@
+"""Sends the opening packets of flows to servers until one accepts them."""
+
+import collections
+
+from kingcupport.flows import opening_queue
+from kingcupport.wire import flow_datagrams
+
+# An agent tells within about 2 ms that its server has accepted a flow, and
+# gives up on its server after 60 ms; the client sends its next copy after
+# 200 ms.
+OPENING_TIMEOUT_MS = 100
+# Agents that are full give an opening packet back at most so often; then it
+# waits in the queue of a server.
+MAX_DECLINES = 4
+# A server is tried no more once so many have not accepted the flow: the
+# client's next attempt comes with a new flow.
+MAX_TRIED = 8
+
+NO_ROOM = 'no server has room in time'
+NO_SERVER = 'no server takes flows'
+
+
+class FlowOpener:
+    """Handles the opening packets of one balancer.
+
+    Args:
+        clock: Clock.
+        packet_format: FlowPacketFormat.
+        index: ServerIndex.
+        table: FlowTable, which takes the flows that are placed.
+        loads: ServerLoads.
+        placement: FlowPlacement.
+        refusals: FlowRefusals.
+        counters: FlowCounters.
+        decisions: DecisionLog.
+        route_of: ``route_of(flow)`` returns a FlowRoute or None.
+        forward: ``forward(entry, data, slot_limit)`` sends a packet to the
+            agent of a FlowEntry.
+
+    Attributes:
+        waiting: OpeningQueue.
+    """
+
+    def __init__(
+        self,
+        clock,
+        packet_format,
+        index,
+        table,
+        loads,
+        placement,
+        refusals,
+        counters,
+        decisions,
+        *,
+        route_of,
+        forward,
+    ):
+        self._clock = clock
+        self._format = packet_format
+        self._index = index
+        self._table = table
+        self._loads = loads
+        self._placement = placement
+        self._refusals = refusals
+        self._counters = counters
+        self._decisions = decisions
+        self._route_of = route_of
+        self._forward = forward
+        self.waiting = opening_queue.make_opening_queue(clock)
+        # Deadlines of opening packets, in order, because all wait equally.
+        self._openings = collections.deque()
+
+    def on_opening(self, packet, data, route):
+        """Handle an opening packet, or a copy of one.
+
+        Args:
+            packet: FlowPacket.
+            data: Its bytes.
+            route: FlowRoute of the flow.
+        """
+        entry = self._table.get(packet.flow)
+        if packet.flow in self.waiting:
+            self._counters.copies_ignored += 1
+        elif entry is None or self._index.is_replaced(entry):
+            self._place(packet, data, route)
+        elif entry.is_accepted or self._is_live(entry):
+            self._forward(entry, data)
+        else:
+            self._place_again(entry, 'server left')
+
+    def on_declined(self, entry, reason):
+        """Handle an opening packet that an agent gave back.
+
+        Args:
+            entry: FlowEntry that no server has accepted.
+            reason: DeclineReason.
+        """
+        if reason == flow_datagrams.DeclineReason.BUSY:
+            self._on_busy(entry)
+        else:
+            self._place_again(entry, reason.name.lower())
+
+    def on_unreachable(self, ip):
+        """Avoid an agent whose port is closed and place its openings again.
+
+        Args:
+            ip: Address of the agent.
+        """
+        self._loads.avoid(ip)
+        for _, flow, server_name in list(self._openings):
+            entry = self._unaccepted(flow, server_name)
+            if entry is not None and entry.ip == ip:
+                self._place_again(entry, 'agent is gone')
+
+    def check_openings(self):
+        """Place the flows again that no server has accepted in time."""
+        now_ms = self._clock.monotonic_ms()
+        while self._openings and self._openings[0][0] <= now_ms:
+            _, flow, server_name = self._openings.popleft()
+            entry = self._unaccepted(flow, server_name)
+            if entry is not None:
+                self._loads.avoid(entry.ip)
+                self._place_again(entry, 'no answer')
+
+    def check_waiting(self):
+        """Decide on the flows that have waited as long as they may."""
+        for opening in self.waiting.pop_due():
+            if self._has_opened(opening):
+                continue
+            server = self._choose(opening.flow, opening.service, ())
+            limit = 0
+            if server is not None:
+                limit = self._placement.limit_after_wait(opening, server)
+            if limit is None:
+                packet = self._format.read_from_client(opening.data)
+                waited_ms = self._clock.monotonic_ms() - opening.since_ms
+                self._refuse_busy(packet, opening.service, waited_ms)
+            else:
+                self._place_opening(opening, server, limit)
+
+    def place_waiting(self, service):
+        """Place waiting flows while servers have room for them.
+
+        Args:
+            service: Name of a service of which something was reported.
+        """
+        while True:
+            opening = self.waiting.pop(service)
+            if opening is None:
+                return
+            if self._has_opened(opening):
+                continue
+            server = self._choose(opening.flow, service, ())
+            limit = 0
+            if server is not None:
+                limit = self._placement.slot_limit(
+                    server, self.waiting.is_late(opening)
+                )
+            if limit is None:
+                self.waiting.put_back(opening)
+                return
+            self._place_opening(opening, server, limit)
+
+    def _place(self, packet, data, route):
+        service = route.choose_service(packet.flow)
+        server = self._choose(packet.flow, service, ())
+        if server is None:
+            self._refusals.refuse(packet, NO_SERVER, service)
+            return
+        now_ms = self._clock.monotonic_ms()
+        opened_ms = now_ms - packet.opening_age_ms
+        limit = self._placement.slot_limit(
+            server, opening_queue.start_by_ms(route, opened_ms) <= now_ms
+        )
+        if limit is not None:
+            self._send_placed(packet.flow, server, data, limit, opened_ms)
+        elif self.waiting.put(packet.flow, service, data, route, opened_ms):
+            self._counters.flows_waiting += 1
+        else:
+            self._refuse_busy(packet, service, 0)
+
+    def _refuse_busy(self, packet, service, waited_ms):
+        self._refusals.refuse(
+            packet,
+            NO_ROOM,
+            service,
+            opened_ago_ms=round(packet.opening_age_ms + waited_ms),
+            waited_ms=round(waited_ms),
+            waiting=len(self.waiting),
+        )
+
+    def _has_opened(self, opening):
+        """Whether a waiting packet is a copy of one that was accepted.
+
+        A balancer that was paused may read a copy just before later packets
+        of the flow, by which it finds the server.
+        """
+        entry = self._table.get(opening.flow)
+        if entry is None or not entry.is_accepted:
+            return False
+        self._counters.copies_ignored += 1
+        return True
+
+    def _place_opening(self, opening, server, limit):
+        if server is None:
+            packet = self._format.read_from_client(opening.data)
+            self._refusals.refuse(packet, NO_SERVER, opening.service)
+            return
+        waited_ms = self._clock.monotonic_ms() - opening.since_ms
+        self._send_placed(
+            opening.flow,
+            server,
+            opening.data,
+            limit,
+            opening.opened_ms,
+            waited_ms,
+        )
+
+    def _send_placed(self, flow, server, data, limit, opened_ms, waited_ms=0):
+        entry = self._table.put(
+            flow, server, opening_data=data, opened_ms=opened_ms
+        )
+        self._counters.flows_placed += 1
+        self._send(entry, server, 'flow placed', limit, waited_ms)
+
+    def _place_again(self, entry, reason):
+        entry.tried = (*entry.tried, entry.server_name)
+        self._loads.on_settled(entry.ip, entry.flow)
+        server = None
+        if len(entry.tried) < MAX_TRIED:
+            server = self._choose(entry.flow, entry.service, entry.tried)
+        if server is None:
+            packet = self._format.read_from_client(entry.opening_data)
+            self._table.forget(entry.flow)
+            if packet is not None:
+                self._refusals.refuse(packet, reason, entry.service)
+            return
+        data = entry.opening_data
+        entry = self._table.put(entry.flow, server, opening_data=data)
+        self._counters.flows_placed_again += 1
+        limit = 0
+        if len(entry.tried) < MAX_DECLINES:
+            limit = self._placement.slot_limit(server) or 0
+        self._send(entry, server, f'flow placed again: {reason}', limit)
+
+    def _on_busy(self, entry):
+        server = self._index.by_ip.get(entry.ip)
+        self._loads.on_settled(entry.ip, entry.flow)
+        self._loads.on_busy(entry.ip, server.slots + 1 if server else 1)
+        route = self._route_of(entry.flow)
+        if (
+            route is None
+            or not self._loads.get(entry.ip).is_exact
+            or not self.waiting.put(
+                entry.flow,
+                entry.service,
+                entry.opening_data,
+                route,
+                entry.opened_ms,
+            )
+        ):
+            self._place_again(entry, 'busy')
+            return
+        self._table.forget(entry.flow)
+        self.place_waiting(entry.service)
+
+    def _choose(self, flow, service, tried):
+        return self._placement.choose(
+            flow, self._index.by_service.get(service, ()), tried
+        )
+
+    def _send(self, entry, server, event, limit, waited_ms=0):
+        load = self._loads.get(server.ip)
+        now_ms = self._clock.monotonic_ms()
+        self._decisions.write(
+            event,
+            {
+                'flow': self._format.describe(entry.flow),
+                'service': entry.service,
+                'server': server.name,
+                'running': load.running,
+                'report_age_ms': _age_ms(load.reported_ms, now_ms),
+                'view_age_ms': self._refusals.view_age_ms(),
+                'tried': len(entry.tried),
+                'opened_ago_ms': _age_ms(entry.opened_ms, now_ms),
+                'waited_ms': round(waited_ms),
+            },
+        )
+        self._loads.on_placed(server.ip, entry.flow)
+        self._openings.append(
+            (now_ms + OPENING_TIMEOUT_MS, entry.flow, server.name)
+        )
+        self._forward(entry, entry.opening_data, limit)
+
+    def _unaccepted(self, flow, server_name):
+        entry = self._table.get(flow)
+        if (
+            entry is None
+            or entry.is_accepted
+            or entry.server_name != server_name
+        ):
+            return None
+        return entry
+
+    def _is_live(self, entry):
+        return self._index.is_listed(entry) and self._loads.is_usable(entry.ip)
+
+
+def _age_ms(time_ms, now_ms):
+    return None if time_ms is None else round(now_ms - time_ms)
--- a/packages/balancer/src/kingcupport/balancer/server_index.py
+++ b/packages/balancer/src/kingcupport/balancer/server_index.py
@@ -40,6 +40,14 @@
             if deadline_ms > now_ms
         }
 
+    def is_listed(self, entry):
+        """Whether the view lists the server of a flow.
+
+        Args:
+            entry: FlowEntry.
+        """
+        return entry.server_name in self._view.servers
+
     def is_replaced(self, entry):
         """Whether the address of a flow's server belongs to another now.
 
@@ -51,7 +59,7 @@
             current is not None
             and (current.name, current.boot_utc_ms)
             != (entry.server_name, entry.boot_utc_ms)
-            and entry.server_name not in self._view.servers
+            and not self.is_listed(entry)
         )
 
     def _on_view_change(self, kind, _fields):
