Serve histograms of waits, answers and calls to the store

Cause: the users ask for latency histograms at the metrics address; forwarded flows had counters and gauges only, and resets did not tell their reason.

Ruled out: aioprometheus' own histograms in the data path: the library with asyncio takes 2 MB and 0.2 s, which only a process that is asked should pay.

Change: LatencyCounts keeps the counts; Metrics.mirror_latencies makes the library's histograms of them when metrics are read. Balancer: opening_wait_ms, opening_age_ms, source_call_ms, resets_by_reason_total; agent: answer_ms. The test of the whole path reads them from the real programs.

--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -2,7 +2,6 @@
 
 import logging
 
-import attrs
 import gevent
 from gevent import event
 
@@ -165,7 +164,8 @@
         from kingcupport.observability import metrics as metrics_module
 
         metrics = metrics_module.make_metrics('agent')
-        metrics.mirror_totals(lambda: attrs.asdict(self.counters))
+        metrics.mirror_totals(self.counters.totals)
+        metrics.mirror_latencies(self.counters.latencies)
         metrics.mirror_gauges(self._gauges)
         return 200, metrics.render()
 
--- a/packages/agent/src/kingcupport/agent/flow_counters.py
+++ b/packages/agent/src/kingcupport/agent/flow_counters.py
@@ -2,10 +2,17 @@
 
 import attrs
 
+from kingcupport.observability import latency_counts
+
 
 @attrs.define
 class FlowCounters:
-    """Totals since the start of the process."""
+    """Totals since the start of the process.
+
+    Attributes:
+        latencies: LatencyCounts by name: ``answer_ms`` (from a request's
+            first packet to the head of its answer).
+    """
 
     packets_to_server: int = 0
     packets_to_clients: int = 0
@@ -16,3 +23,13 @@
     flows_accepted: int = 0
     answers: int = 0
     reports_sent: int = 0
+    latencies: dict = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.latencies = latency_counts.make_latency_counts(('answer_ms',))
+
+    def totals(self):
+        """Return the plain totals by name."""
+        return attrs.asdict(
+            self, filter=lambda field, _: field.init, recurse=False
+        )
--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -208,6 +208,7 @@
 
     def _note_answer(self, held, packet, status, took_ms):
         self._counters.answers += 1
+        self._counters.latencies['answer_ms'].add(took_ms)
         self._decisions.write(
             'request answered',
             {
--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -2,7 +2,6 @@
 
 import logging
 
-import attrs
 import gevent
 from gevent import event
 
@@ -236,7 +235,13 @@
         from kingcupport.observability import metrics as metrics_module
 
         metrics = metrics_module.make_metrics('balancer')
-        metrics.mirror_totals(lambda: attrs.asdict(self.counters))
+        metrics.mirror_totals(self.counters.totals)
+        metrics.mirror_latencies(self.counters.latencies)
+        metrics.mirror_events(
+            'resets_by_reason_total',
+            'Resets by reason, also those that refuse a flow',
+            self.counters.resets_by_reason,
+        )
         metrics.mirror_gauges(self._gauges)
         return 200, metrics.render()
 
--- a/packages/balancer/src/kingcupport/balancer/flow_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_counters.py
@@ -1,11 +1,22 @@
 """Counters of a balancer that forwards flows."""
 
+import collections
+
 import attrs
 
+from kingcupport.observability import latency_counts
+
 
 @attrs.define
 class FlowCounters:
-    """Totals since the start of the process."""
+    """Totals since the start of the process.
+
+    Attributes:
+        resets_by_reason: Number of resets by reason.
+        latencies: LatencyCounts by name: ``opening_wait_ms`` (until a server
+            had room for a flow), ``opening_age_ms`` (from the client's first
+            packet until then), ``source_call_ms`` (calls to the store).
+    """
 
     packets: int = 0
     packets_malformed: int = 0
@@ -24,3 +35,18 @@
     view_pulls_failed: int = 0
     source_calls: int = 0
     source_calls_failed: int = 0
+    resets_by_reason: collections.Counter = attrs.field(
+        factory=collections.Counter, init=False
+    )
+    latencies: dict = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.latencies = latency_counts.make_latency_counts(
+            ('opening_wait_ms', 'opening_age_ms', 'source_call_ms')
+        )
+
+    def totals(self):
+        """Return the plain totals by name."""
+        return attrs.asdict(
+            self, filter=lambda field, _: field.init, recurse=False
+        )
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -222,6 +222,9 @@
             flow, server, opening_data=data, opened_ms=opened_ms
         )
         self._counters.flows_placed += 1
+        latencies = self._counters.latencies
+        latencies['opening_wait_ms'].add(waited_ms)
+        latencies['opening_age_ms'].add(self._clock.monotonic_ms() - opened_ms)
         self._send(entry, server, 'flow placed', limit, waited_ms)
 
     def _place_again(self, entry, reason):
--- a/packages/balancer/src/kingcupport/balancer/flow_refusals.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_refusals.py
@@ -67,6 +67,7 @@
             inputs: What else the decision rests on, for the log.
         """
         self._counters.resets_sent += 1
+        self._counters.resets_by_reason[reason] += 1
         self._decisions.write(
             'flow reset',
             {
--- a/packages/balancer/src/kingcupport/balancer/flow_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_sync.py
@@ -97,12 +97,8 @@
             self._read(now_ms)
 
     def _read(self, started_ms):
-        self._counters.source_calls += 1
         try:
-            if self._needs_whole or self._view.read_revision == 0:
-                reading = self._source.read_all()
-            else:
-                reading = self._source.read_changes(self._view.read_revision)
+            reading = self._call_source(started_ms)
         except fleet_source.HistoryLostError as error:
             LOG.info('store lost its history', extra={'error': error})
             self._needs_whole = True
@@ -123,6 +119,17 @@
         has_changed = self._view.apply_reading(reading, started_ms)
         self._tell_peers(everyone=has_changed)
 
+    def _call_source(self, started_ms):
+        self._counters.source_calls += 1
+        try:
+            if self._needs_whole or self._view.read_revision == 0:
+                return self._source.read_all()
+            return self._source.read_changes(self._view.read_revision)
+        finally:
+            self._counters.latencies['source_call_ms'].add(
+                self._clock.monotonic_ms() - started_ms
+            )
+
     def _on_failure(self, error):
         self._counters.source_calls_failed += 1
         # Entries may lapse unseen while the store is away.
--- a/packages/observability/src/kingcupport/observability/metrics.py
+++ b/packages/observability/src/kingcupport/observability/metrics.py
@@ -1,6 +1,11 @@
 """Counters and gauges of a process in the Prometheus text format."""
 
+import itertools
+
 import aioprometheus
+from aioprometheus import histogram
+
+from kingcupport.observability import latency_counts
 
 _PREFIX = 'kingcupport'
 _ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
@@ -129,6 +134,22 @@
 
         self.before_render(copy_events)
 
+    def mirror_latencies(self, latencies):
+        """Declare histograms of durations that are counted elsewhere.
+
+        Args:
+            latencies: LatencyCounts by the short name of the metric, which
+                ends with its unit.
+        """
+        for name in latencies:
+            self._add(aioprometheus.Histogram, name, f'Durations of {name}')
+
+        def copy_latencies():
+            for name, counts in latencies.items():
+                self._collectors[name].set_value({}, _make_histogram(counts))
+
+        self.before_render(copy_latencies)
+
     def before_render(self, callback):
         """Call a function without arguments before each rendering."""
         self._callbacks.append(callback)
@@ -141,6 +162,17 @@
         return content
 
 
+def _make_histogram(counts):
+    made = histogram.Histogram(*latency_counts.BOUNDS_MS)
+    # The library's buckets hold all that is within their bound.
+    made.buckets = dict(
+        zip(made.buckets, itertools.accumulate(counts.counts), strict=True)
+    )
+    made.observations = sum(counts.counts)
+    made.sum = counts.total_ms
+    return made
+
+
 def _escape(labels):
     # aioprometheus writes label values as they are.
     return {
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -114,14 +114,28 @@
 
 def test_metrics_are_served(bed):
     bed.serve()
-    for ip, name in (
-        ('127.0.2.1', b'kingcupport_balancer_flows_placed_total'),
-        ('127.0.1.1', b'kingcupport_agent_answers_total'),
-    ):
-        sock = gevent.socket.create_connection((ip, bed.ports['ready']))
-        sock.sendall(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
-        with gevent.Timeout(5):
-            text = b''
-            while name not in text:
-                text += sock.recv(65_536)
-        sock.close()
+    values = {}
+    for ip in (*bed.servers, '127.0.2.1', '127.0.2.2'):
+        for name, value in _read_metrics(bed, ip):
+            values[name] = values.get(name, 0) + value
+    placed = values['kingcupport_balancer_flows_placed_total']
+    assert placed >= 1
+    assert values['kingcupport_balancer_opening_wait_ms_count'] == placed
+    assert values['kingcupport_balancer_opening_age_ms_count'] == placed
+    assert values['kingcupport_balancer_source_call_ms_count'] >= 1
+    answered = values['kingcupport_agent_answers_total']
+    assert answered >= 1
+    assert values['kingcupport_agent_answer_ms_count'] == answered
+
+
+def _read_metrics(bed, ip):
+    sock = gevent.socket.create_connection((ip, bed.ports['ready']))
+    sock.sendall(
+        b'GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    )
+    with gevent.Timeout(5):
+        text = b''.join(iter(lambda: sock.recv(65_536), b''))
+    sock.close()
+    lines = text.partition(b'\r\n\r\n')[2].decode().splitlines()
+    pairs = (line.rsplit(' ', 1) for line in lines if line[:1] != '#')
+    return [(name, float(value)) for name, value in pairs]
