Share the set-up of the fault tests and of two note commands

Ruled out: nothing to rule out; no check changes.

Change: fault_support.start_load; NoteCommand, an abstract base class of the two commands.

--- a/packages/cli/src/kingcupport/cli/note_diff_command.py
+++ b/packages/cli/src/kingcupport/cli/note_diff_command.py
@@ -1,38 +1,16 @@
 """The command ``kingcupport note diff``."""
 
-import cleo.helpers
-
-from kingcupport.cli import _command
-from kingcupport.cli import exit_code
-from kingcupport.cli import input_files
+from kingcupport.cli import _note_command
 from kingcupport.fleet import release_note
 
 
-class NoteDiffCommand(_command.Command):
+class NoteDiffCommand(_note_command.NoteCommand):
     """Prints what a release note changes, in words."""
 
     name = 'note diff'
     description = 'Print what a release note changes in the fleet.'
-    arguments = (cleo.helpers.argument('file', 'Release note (TOML).'),)
-    options = (
-        _command.FLEET_OPTION,
-        _command.JSON_OPTION,
-    )
 
-    def handle(self):
-        """Run the command; return an ExitCode."""
-        fleet = input_files.read_fleet(self.option('fleet'))
-        note, _ = input_files.apply_note(fleet, self.argument('file'))
+    def examine(self, fleet, note, after):
+        """Implement ``NoteCommand.examine``."""
         lines = release_note.difference_lines(fleet, note)
-        if self.option('json'):
-            self.print_json(
-                {
-                    'revision': note.revision,
-                    'base': note.base,
-                    'differences': lines,
-                }
-            )
-        else:
-            for line in lines or ['nothing changes']:
-                self.print_line(line)
-        return exit_code.ExitCode.DONE
+        return {'differences': lines}, lines or ['nothing changes']
--- a/tests/fault_support.py
+++ b/tests/fault_support.py
@@ -19,6 +19,21 @@
     gevent.sleep(duration_ms / 1000)
 
 
+def start_load(bed, duration_ms, lead_ms=2_000, **plan):
+    """Start the usual load and let it run before the fault comes.
+
+    Args:
+        bed: FaultBed.
+        duration_ms: How long requests are sent.
+        lead_ms: How long to wait.
+        **plan: Further fields of LoadPlan.
+    """
+    bed.start_load(
+        duration_ms=duration_ms, connections_count=40, rate_per_s=60, **plan
+    )
+    sleep_ms(lead_ms)
+
+
 def assert_safe(report):
     """Check what must hold under any fault, broken connections aside."""
     errors = report.first_errors
--- a/tests/faults/test_fault_pairs.py
+++ b/tests/faults/test_fault_pairs.py
@@ -16,13 +16,7 @@
 
 def test_balancer_dies_while_an_agent_drains(bed):
     """Handoffs go on while packets are lost with the balancer."""
-    bed.start_load(
-        duration_ms=6_000,
-        connections_count=40,
-        rate_per_s=60,
-        service_time_ms=20,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 6_000, service_time_ms=20)
     leaving = bed.members('ticketing')[0]
     bed.group.terminate(leaving.name)
     bed.group.kill(bed.members('')[0].name)
@@ -34,27 +28,14 @@
 def test_agent_dies_while_the_service_is_down(bed):
     """Nobody can publish a note; the others serve, nothing runs twice."""
     _stop_configuration_service(bed)
-    bed.start_load(
-        duration_ms=8_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=50,
-        unkeyed_percent=10,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 8_000, keyed_percent=50, unkeyed_percent=10)
     bed.group.kill(bed.members('ticketing')[0].name)
     fault_support.assert_safe(bed.finish_load())
 
 
 def test_agent_restarts_while_another_is_paused(bed):
     """The restarted key agent cannot ask the paused one for its claims."""
-    bed.start_load(
-        duration_ms=10_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=60,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 10_000, keyed_percent=60)
     restarted, paused, *_ = bed.members('ticketing')
     bed.group.pause(paused.name)
     bed.group.kill(restarted.name)
@@ -66,13 +47,7 @@
 
 def test_note_comes_while_a_balancer_dies_and_an_agent_is_paused(bed):
     """A withdrawn agent hands over although one receiver is paused."""
-    bed.start_load(
-        duration_ms=9_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=40,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 9_000, keyed_percent=40)
     leaving, paused, *_ = bed.members('ticketing')
     bed.group.pause(paused.name)
     bed.group.kill(bed.members('')[0].name)
--- a/tests/faults/test_process_faults.py
+++ b/tests/faults/test_process_faults.py
@@ -5,22 +5,14 @@
 
 def test_balancer_dies(bed):
     """Only packets in flight are lost, and they are sent again."""
-    bed.start_load(duration_ms=6_000, connections_count=40, rate_per_s=60)
-    fault_support.sleep_ms(1_500)
+    fault_support.start_load(bed, 6_000, lead_ms=1_500)
     bed.group.kill(bed.members('')[0].name)
     fault_support.assert_unharmed(bed.finish_load())
 
 
 def test_agent_dies(bed):
     """Its connections break; nothing runs twice, others go on."""
-    bed.start_load(
-        duration_ms=8_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=50,
-        unkeyed_percent=20,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 8_000, keyed_percent=50, unkeyed_percent=20)
     victim = bed.members('ticketing')[0]
     owned = bed.metric(victim, 'connections')
     bed.group.kill(victim.name)
@@ -32,14 +24,7 @@
 
 def test_agent_is_paused_and_wakes(bed):
     """It believes what it knew before; nothing runs twice."""
-    bed.start_load(
-        duration_ms=9_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=50,
-        unkeyed_percent=20,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 9_000, keyed_percent=50, unkeyed_percent=20)
     victim = bed.members('ticketing')[0]
     bed.group.pause(victim.name)
     fault_support.sleep_ms(3_000)
@@ -49,13 +34,7 @@
 
 def test_paused_agent_is_withdrawn_and_wakes(bed):
     """The old owner of keys and connections wakes after a note."""
-    bed.start_load(
-        duration_ms=10_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=50,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 10_000, keyed_percent=50)
     victim = bed.members('ticketing')[0]
     bed.group.pause(victim.name)
     bed.deployment.publish({'withdrawn': {'backend_servers': [victim.name]}})
@@ -70,13 +49,7 @@
 
 def test_backend_server_dies(bed):
     """Its requests are refused or run elsewhere, never twice."""
-    bed.start_load(
-        duration_ms=6_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=40,
-    )
-    fault_support.sleep_ms(1_500)
+    fault_support.start_load(bed, 6_000, lead_ms=1_500, keyed_percent=40)
     victim = bed.members('ticketing')[0]
     bed.group.kill(victim.server_process_name)
     report = bed.finish_load(left_out=(victim,))
@@ -86,13 +59,7 @@
 
 def test_agent_restarts_with_empty_memory(bed):
     """A retry of a key that ran before the restart does not run again."""
-    bed.start_load(
-        duration_ms=9_000,
-        connections_count=40,
-        rate_per_s=60,
-        keyed_percent=60,
-    )
-    fault_support.sleep_ms(2_000)
+    fault_support.start_load(bed, 9_000, keyed_percent=60)
     victim = bed.members('ticketing')[0]
     bed.group.kill(victim.name)
     bed.deployment.start_member_process(victim)
