Open the import circle of the backend port and its HTTP implementation

Ruled out: a third module for the factory alone; it belongs beside its class.

Change: http_backend_port.py is public and holds make_http_backend_port.

Figures: tests of the port, the scheduler and the command line pass.

--- a/packages/agent/src/kingcupport/agent/agent.py
+++ b/packages/agent/src/kingcupport/agent/agent.py
@@ -19,8 +19,8 @@
 from kingcupport.connections import request_ids
 from kingcupport.control import daemon
 from kingcupport.fleet import service as service_module
-from kingcupport.requests import backend_port
 from kingcupport.requests import claim_gate_port
+from kingcupport.requests import http_backend_port
 from kingcupport.requests import keyed_runner
 from kingcupport.requests import peer_loads
 from kingcupport.requests import scheduler as scheduler_module
@@ -68,7 +68,7 @@
     def _make_requests(self):
         settings = self._settings
         self._claim_gate = claim_gate_port.ClaimGatePort(
-            backend_port.make_backend_port(
+            http_backend_port.make_http_backend_port(
                 settings.server_address, self._clock, settings.slots_count
             )
         )
--- a/packages/requests/src/kingcupport/requests/backend_port.py
+++ b/packages/requests/src/kingcupport/requests/backend_port.py
@@ -35,16 +35,3 @@
             OutcomeUnknownError: The connection failed after the request was
                 sent, the deadline passed, or the answer is too large.
         """
-
-
-def make_backend_port(server_address, clock, slots):
-    """Return the port of an HTTP server.
-
-    Args:
-        server_address: Address of the server.
-        clock: Clock of the deadlines.
-        slots: Number of requests that the server runs at once.
-    """
-    from kingcupport.requests import _http_backend_port
-
-    return _http_backend_port.HttpBackendPort(server_address, clock, slots)
--- a/packages/requests/src/kingcupport/requests/_http_backend_port.py
+++ b/packages/requests/src/kingcupport/requests/http_backend_port.py
@@ -191,3 +191,14 @@
         for token in value.split(b',')
     )
     return [(name, value) for name, value in headers if name not in dropped]
+
+
+def make_http_backend_port(server_address, clock, slots):
+    """Return the port of an HTTP server.
+
+    Args:
+        server_address: Address of the server.
+        clock: Clock of the deadlines.
+        slots: Number of requests that the server runs at once.
+    """
+    return HttpBackendPort(server_address, clock, slots)
--- a/tests/requests/test_http_backend_port.py
+++ b/tests/requests/test_http_backend_port.py
@@ -7,8 +7,8 @@
 
 from kingcupport.common import address
 from kingcupport.common import clock as clock_module
-from kingcupport.requests import _http_backend_port
 from kingcupport.requests import backend_port
+from kingcupport.requests import http_backend_port
 from kingcupport.requests import request as request_module
 
 CLOCK = clock_module.make_system_clock()
@@ -69,7 +69,7 @@
 
 
 def _port(at):
-    return _http_backend_port.HttpBackendPort(at, CLOCK, 1)
+    return http_backend_port.HttpBackendPort(at, CLOCK, 1)
 
 
 def test_whole_answer_and_headers(start_server):
@@ -161,7 +161,7 @@
 
 
 def test_too_large_answer_is_unknown(start_server):
-    size = _http_backend_port.MAX_ANSWER_BYTES + 1
+    size = http_backend_port.MAX_ANSWER_BYTES + 1
     started = start_server(
         b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size + b'x' * size
     )
