Split two benches; let the agent's bench start again

Ruled out: the load of the machine: the agent had started after 0.5 s, and its readiness said "the fleet and the settings differ in slots" for 20 s.

Change: the bench's fleet has the agent's slots. agent_fabric, planned_fleet and idle_network hold what the two benches use.

--- a/bench/agent_connections.py
+++ b/bench/agent_connections.py
@@ -13,13 +13,13 @@
 
 monkey.patch_all()
 
-import collections  # noqa: E402
 import pathlib  # noqa: E402
 import random  # noqa: E402
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
 
+import agent_fabric  # noqa: E402
 import gevent  # noqa: E402
 import gevent.pywsgi  # noqa: E402
 import process_figures as figures  # noqa: E402
@@ -33,8 +33,6 @@
 from kingcupport.standins import configuration_service  # noqa: E402
 from kingcupport.standins import process_probe  # noqa: E402
 from kingcupport.standins import published_state  # noqa: E402
-from kingcupport.wire import datagram_socket  # noqa: E402
-from kingcupport.wire import datagrams  # noqa: E402
 from kingcupport.wire import packet as packet_module  # noqa: E402
 
 HOSTS = 11
@@ -48,14 +46,8 @@
 IDLE_S = 5
 SETTLE_S = 1.5
 START_TIMEOUT_S = 20
-RESEND_S = 1
-GIVE_UP_S = 60
-SERVICE_NAME = 'service-000'
-SERVICE_ADDRESS = '127.3.0.1:80'
-CALLER_ADDRESS = '127.0.0.1:1024'
 # Nothing listens on the addresses of the other hosts.
 OTHER_HOST_IP = '127.2.0'
-PORTS = (20_000, 31_000)
 
 _KIND = packet_module.PacketKind
 _GET = b'GET /tickets HTTP/1.1\r\nHost: tickets\r\n\r\n'
@@ -65,107 +57,6 @@
 )
 
 
-class Peer:
-    """The caller's side of one connection."""
-
-    def __init__(self, connection_id):
-        self.connection_id = connection_id
-        self.stream_id = 0
-        self.sent_offset = 0
-        self.received_offset = 0
-        self.due_offset = 0
-
-
-class Fabric:
-    """Balancer and fabric in one UDP socket.
-
-    Args:
-        agent_address: Address of the agent.
-    """
-
-    def __init__(self, agent_address):
-        self._address = address_module.Address('127.0.0.1', free_port())
-        self._destination = agent_address.as_tuple()
-        self._socket = datagram_socket.DatagramSocket(
-            self._address, lambda destination: None
-        )
-        self._header = datagrams.encode_envelope(
-            SERVICE_NAME, 1, str(self._address), [], b''
-        )
-        self.peers = {}
-        self.waiting = collections.OrderedDict()
-        self.resets = 0
-        self.resent = 0
-        gevent.spawn(self._socket.receive_forever, self._on_data)
-
-    def send(self, kind, peer, payload=b''):
-        """Send a packet of a connection to the agent."""
-        packet = packet_module.Packet(
-            int(kind),
-            peer.connection_id,
-            peer.stream_id,
-            peer.sent_offset,
-            peer.received_offset,
-            payload,
-            CALLER_ADDRESS,
-            SERVICE_ADDRESS,
-            str(self._address),
-        )
-        data = self._header + packet_module.encode_packet(packet)
-        self._socket.send(data, self._destination)
-
-    def _on_data(self, data, source):
-        packet = packet_module.decode_packet(data)
-        peer = self.peers.get(packet.connection_id)
-        if peer is None:
-            return
-        if packet.kind == _KIND.OPENED:
-            peer.stream_id = packet.stream_id
-            self.send(_KIND.ACK, peer)
-            self.waiting.pop(peer.connection_id, None)
-        elif packet.kind == _KIND.RESET:
-            self.resets += 1
-        elif packet.kind == _KIND.ACK:
-            if peer.due_offset and packet.ack >= peer.due_offset:
-                self.waiting.pop(peer.connection_id, None)
-        elif packet.kind == _KIND.DATA:
-            self._on_answer(peer, packet)
-
-    def _on_answer(self, peer, packet):
-        if packet.offset == peer.received_offset:
-            peer.received_offset += len(packet.payload)
-            self.waiting.pop(peer.connection_id, None)
-        self.send(_KIND.ACK, peer)
-
-    def run(self, actions, max_outstanding):
-        """Keep up to a number of exchanges going until all are answered.
-
-        Args:
-            actions: Pairs of a Peer and a function that sends for it.
-            max_outstanding: Greatest number without an answer.
-        """
-        for peer, action in actions:
-            self.waiting[peer.connection_id] = (time.monotonic(), action)
-            action()
-            self._wait_below(max_outstanding)
-        self._wait_below(1)
-
-    def _wait_below(self, limit):
-        give_up = time.monotonic() + GIVE_UP_S
-        while len(self.waiting) >= limit:
-            gevent.sleep(0.0005)
-            now = time.monotonic()
-            if now > give_up:
-                raise SystemExit(f'{len(self.waiting)} exchanges unanswered')
-            oldest = next(iter(self.waiting.items()), None)
-            if oldest and now - oldest[1][0] > RESEND_S:
-                connection_id, (_, action) = oldest
-                self.resent += 1
-                del self.waiting[connection_id]
-                self.waiting[connection_id] = (now, action)
-                action()
-
-
 class Run:
     """The measurements on one agent process.
 
@@ -241,7 +132,7 @@
 
     def _opens(self, count):
         for _ in range(count):
-            peer = Peer(next(self._owned_ids))
+            peer = agent_fabric.Peer(next(self._owned_ids))
             self._fabric.peers[peer.connection_id] = peer
             yield peer, lambda peer=peer: self._fabric.send(_KIND.OPEN, peer)
 
@@ -300,22 +191,6 @@
         )
 
 
-def free_port():
-    """Return a loopback port that is free for UDP and TCP."""
-    while True:
-        port = random.randint(*PORTS)
-        try:
-            with (
-                gevent.socket.socket(type=gevent.socket.SOCK_DGRAM) as udp,
-                gevent.socket.socket() as tcp,
-            ):
-                udp.bind(('127.0.0.1', port))
-                tcp.bind(('127.0.0.1', port))
-            return port
-        except OSError:
-            continue
-
-
 def make_fleet(agent_address, server_address, other_port, host_count):
     """Return a fleet of one service whose first host is under test."""
     addresses = [(agent_address, server_address)] + [
@@ -325,20 +200,26 @@
         )
         for i in range(1, host_count)
     ]
+    name = agent_fabric.SERVICE_NAME
     hosts = {
         f'host-{i:04}': backend_server.BackendServer(
-            f'host-{i:04}', SERVICE_NAME, agent, server, 'dakar-plateau'
+            f'host-{i:04}',
+            name,
+            agent,
+            server,
+            'dakar-plateau',
+            slots=MAX_REQUESTS_OUTSTANDING,
         )
         for i, (agent, server) in enumerate(addresses)
     }
-    parsed = address_module.parse_address(SERVICE_ADDRESS)
-    services = {SERVICE_NAME: service.Service(SERVICE_NAME, parsed)}
+    parsed = address_module.parse_address(agent_fabric.SERVICE_ADDRESS)
+    services = {name: service.Service(name, parsed)}
     return fleet_module.Fleet(1, 'd' * 32, services, {}, hosts)
 
 
 def find_owned_ids(fleet, name):
     """Yield random connection ids whose first candidate is a host."""
-    table = fleet_tables.FleetTables(fleet).table(SERVICE_NAME)
+    table = fleet_tables.FleetTables(fleet).table(agent_fabric.SERVICE_NAME)
     rng = random.Random(1)
     while True:
         connection_id = rng.getrandbits(64)
@@ -371,7 +252,7 @@
 def _write_settings(directory, agent_address, server, http, configuration):
     path = pathlib.Path(directory) / 'agent.toml'
     path.write_text(
-        f"name = 'host-0000'\nservice = '{SERVICE_NAME}'\n"
+        f"name = 'host-0000'\nservice = '{agent_fabric.SERVICE_NAME}'\n"
         f"data_centre = 'dakar-plateau'\naddress = '{agent_address}'\n"
         f"server_address = '{server}'\nhttp_address = '{http}'\n"
         f"configuration_address = '{configuration}'\n"
@@ -397,12 +278,13 @@
 def _measure_agent(directory, host_count):
     clock = clock_module.make_system_clock()
     agent, http, configuration = (
-        address_module.Address('127.0.0.1', free_port()) for _ in range(3)
+        address_module.Address('127.0.0.1', agent_fabric.free_port())
+        for _ in range(3)
     )
     backend = _make_backend()
     backend.start()
     server = address_module.Address('127.0.0.1', backend.server_port)
-    fleet = make_fleet(agent, server, free_port(), host_count)
+    fleet = make_fleet(agent, server, agent_fabric.free_port(), host_count)
     state = published_state.PublishedState(clock)
     state.publish_fleet(fleet)
     standin = configuration_service.ConfigurationService(
@@ -415,7 +297,7 @@
     )
     try:
         _wait_ready(process_probe.ProcessProbe(http))
-        fabric = Fabric(agent)
+        fabric = agent_fabric.Fabric(agent)
         run = Run(process, fabric, find_owned_ids(fleet, 'host-0000'))
         gevent.sleep(SETTLE_S)
         figures.print_figure(
--- a/bench/idle_memory.py
+++ b/bench/idle_memory.py
@@ -20,37 +20,28 @@
 import tempfile  # noqa: E402
 import time  # noqa: E402
 
-import agent_connections  # noqa: E402
+import agent_fabric  # noqa: E402
 import gevent  # noqa: E402
 import gevent.server  # noqa: E402
 import gevent.socket  # noqa: E402
+import idle_network  # noqa: E402
+import planned_fleet  # noqa: E402
 import process_figures as figures  # noqa: E402
 
 from kingcupport.common import address as address_module  # noqa: E402
 from kingcupport.common import clock as clock_module  # noqa: E402
-from kingcupport.fleet import backend_server  # noqa: E402
-from kingcupport.fleet import balancer  # noqa: E402
 from kingcupport.fleet import documents  # noqa: E402
-from kingcupport.fleet import fleet as fleet_module  # noqa: E402
 from kingcupport.fleet import release_note  # noqa: E402
-from kingcupport.fleet import service  # noqa: E402
 from kingcupport.standins import configuration_service  # noqa: E402
 from kingcupport.standins import process_probe  # noqa: E402
 from kingcupport.standins import published_state  # noqa: E402
-from kingcupport.wire import datagrams  # noqa: E402
 
-SERVICES = 520
-BALANCERS = 640
-HOSTS = 5_600
 # Three reads of the instance list, one in 20.8 s at this size.
 IDLE_S = 62.4
 NOTES = 10
 # Processes of a fleet of this size poll every 6.2 s, with 25 % jitter.
 NOTES_WAIT_S = 12
-NOTICES_PER_S = 2
 START_TIMEOUT_S = 40
-UDP_HEADER_BYTES = 28
-TCP_HEADER_BYTES = 80
 
 LIBRARIES = (
     'gevent, msgpack, attrs, cattrs, xxhash, h11, geventhttpclient, cleo, '
@@ -65,147 +56,6 @@
 }
 
 
-class Relay:
-    """TCP relay that counts the bytes in both directions.
-
-    Args:
-        destination: Address of the configuration service.
-    """
-
-    def __init__(self, destination):
-        self._destination = destination.as_tuple()
-        self.bytes = 0
-        self._server = gevent.server.StreamServer(
-            ('127.0.0.1', 0), self._serve
-        )
-        self._server.start()
-
-    @property
-    def address(self):
-        """Address to connect to."""
-        return address_module.Address('127.0.0.1', self._server.server_port)
-
-    def _serve(self, sock, source):
-        with gevent.socket.create_connection(self._destination) as other:
-            back = gevent.spawn(self._copy, other, sock)
-            self._copy(sock, other)
-            back.kill()
-
-    def _copy(self, source, destination):
-        try:
-            while data := source.recv(65_536):
-                self.bytes += len(data) + TCP_HEADER_BYTES
-                destination.sendall(data)
-        except OSError:
-            return
-
-    def stop(self):
-        """Stop the server."""
-        self._server.stop(timeout=0)
-
-
-class Notices:
-    """Takes the notices to all processes of the fleet and sends some.
-
-    Args:
-        port: UDP port of all of them.
-    """
-
-    def __init__(self, port):
-        self._sock = gevent.socket.socket(type=gevent.socket.SOCK_DGRAM)
-        self._sock.setsockopt(
-            gevent.socket.SOL_SOCKET, gevent.socket.SO_BINDTODEVICE, b'lo'
-        )
-        self._sock.bind(('0.0.0.0', port))
-        self.received_bytes = {}
-        gevent.spawn(self._receive)
-
-    def _receive(self):
-        while True:
-            data, source = self._sock.recvfrom(2048)
-            total = self.received_bytes.get(source, 0)
-            self.received_bytes[source] = total + len(data) + UDP_HEADER_BYTES
-
-    def send_forever(self, destination, state):
-        """Send what the other processes of the fleet would send."""
-        sender = str(fleet_address(1, 5, self._sock.getsockname()[1]))
-        while True:
-            fleet = state.fleet
-            notice = datagrams.RevisionNotice(
-                fleet.revision, fleet.digest, sender
-            )
-            self._sock.sendto(
-                datagrams.encode_revision_notice(notice),
-                destination.as_tuple(),
-            )
-            gevent.sleep(1 / NOTICES_PER_S)
-
-
-def fleet_address(group, number, port):
-    """Return an address in 127.0.0.0/8 that is unique in its group."""
-    high, low = divmod(number, 250)
-    return address_module.Address(f'127.{group}.{high}.{low + 1}', port)
-
-
-def make_fleet(port, own_port):
-    """Return a fleet of the design's size, on loopback addresses.
-
-    Args:
-        port: Port of all balancers and agents but the first of each.
-        own_port: Port of the first balancer and the first agent.
-    """
-    services = {
-        f'service-{i:03}': service.Service(
-            f'service-{i:03}', fleet_address(3, i, 80)
-        )
-        for i in range(SERVICES)
-    }
-    balancers = {
-        f'balancer-{i:03}': balancer.Balancer(
-            f'balancer-{i:03}',
-            fleet_address(1, i, port if i else own_port),
-            f'data-centre-{i % 6}',
-        )
-        for i in range(BALANCERS)
-    }
-    return fleet_module.Fleet(
-        1, 'd' * 32, services, balancers, _make_hosts(port, own_port)
-    )
-
-
-def _make_hosts(port, own_port):
-    return {
-        f'host-{i:04}': make_host(i, port if i else own_port, i % SERVICES)
-        for i in range(HOSTS)
-    }
-
-
-def make_host(number, port, service_number):
-    """Return the backend server of a number."""
-    return backend_server.BackendServer(
-        f'host-{number:04}',
-        f'service-{service_number:03}',
-        fleet_address(2, number, port),
-        fleet_address(4, number, 8000),
-        f'data-centre-{number % 6}',
-        added_revision=1,
-    )
-
-
-def make_note(fleet, number, port):
-    """Return a note that adds one host to the first service."""
-    empty = dict.fromkeys(documents.ENTRY_CLASSES, ())
-    host = make_host(number, port, 0)
-    return release_note.ReleaseNote(
-        fleet.revision + 1,
-        fleet.revision,
-        fleet.digest,
-        empty | {'backend_servers': (host,)},
-        empty,
-        empty,
-    )
-
-
 def _print_bare_processes():
     for name, statement in BARE_PROCESSES.items():
         script = (
@@ -266,7 +116,7 @@
     with _Step('load: data path of a balancer'):
         path = data_path.DataPath(
             keeper.fleet,
-            fleet_address(1, 0, port),
+            planned_fleet.fleet_address(1, 0, port),
             packet_format.make_packet_format(),
             lambda data, destination: None,
             hint_cache.HintCache(),
@@ -287,7 +137,7 @@
     notes = []
     fleet = keeper.fleet
     for i in range(NOTES):
-        note = make_note(fleet, HOSTS + i, port)
+        note = planned_fleet.make_note(fleet, planned_fleet.HOSTS + i, port)
         fleet = release_note.apply_release_note(fleet, note)
         notes.append(release_note.note_to_plain(note))
     del fleet
@@ -332,10 +182,8 @@
     ):
         self.package = package
         self.address = entry_address
-        self.relay = Relay(configuration)
-        http = address_module.Address(
-            '127.0.0.1', agent_connections.free_port()
-        )
+        self.relay = idle_network.Relay(configuration)
+        http = address_module.Address('127.0.0.1', agent_fabric.free_port())
         path = pathlib.Path(directory) / f'{package}.toml'
         path.write_text(
             f"data_centre = 'data-centre-0'\naddress = '{entry_address}'\n"
@@ -444,7 +292,7 @@
     cpu_s = figures.processor_s(pid)
     for _ in range(NOTES):
         number = len(state.fleet.backend_servers)
-        state.publish(make_note(state.fleet, number, port))
+        state.publish(planned_fleet.make_note(state.fleet, number, port))
     gevent.sleep(NOTES_WAIT_S)
     cpu_s = figures.processor_s(pid) - cpu_s
     polled = program.relay.bytes - polled
@@ -461,10 +309,10 @@
 
 def _measure_programs(directory, fleet, idle_s, port):
     clock = clock_module.make_system_clock()
-    notices = Notices(port)
+    notices = idle_network.Notices(port)
     agent_settings = (
         "name = 'host-0000'\nservice = 'service-000'\n"
-        f"server_address = '{fleet_address(4, 0, 8000)}'\n"
+        f"server_address = '{planned_fleet.fleet_address(4, 0, 8000)}'\n"
     )
     own = {
         'balancer': (
@@ -480,7 +328,7 @@
         state = published_state.PublishedState(clock)
         state.publish_fleet(fleet)
         standin = configuration_service.ConfigurationService(
-            address_module.Address('127.0.0.1', agent_connections.free_port()),
+            address_module.Address('127.0.0.1', agent_fabric.free_port()),
             state,
             clock,
         )
@@ -498,8 +346,8 @@
         _print_tables()
         return
     idle_s = float(sys.argv[1]) if len(sys.argv) > 1 else IDLE_S
-    port = agent_connections.free_port()
-    fleet = make_fleet(port, agent_connections.free_port())
+    port = agent_fabric.free_port()
+    fleet = planned_fleet.make_fleet(port, agent_fabric.free_port())
     _print_bare_processes()
     _measure_tables(fleet)
     with tempfile.TemporaryDirectory() as directory:
