Ask agents that moved to another service before a reset

The agents' metrics of the first failure: ticketing-2 reset unknown connections (3), the moved agent still had 16 to hand over. An agent that has left its service by a "changed" entry is in the fleet, with another service; _agent_address took it as no address, while it still owned connections.

Ruled out: undecided handoffs (no such line in the logs, counter 0), load alone (the reset follows from the code; the new unit test fails without load).

Change: the previous fleet is asked as well when the entry has moved. The tests of agents that end run for withdrawn and moved agents; one failed before.

--- a/packages/agent/src/kingcupport/agent/data_path.py
+++ b/packages/agent/src/kingcupport/agent/data_path.py
@@ -287,13 +287,18 @@
         )
 
     def _agent_address(self, name):
-        member = self.fleet.backend_servers.get(name)
-        if member is None and name not in self._ended_agents:
-            # A withdrawn agent may still own connections while it drains.
-            member = self._previous_tables.fleet.backend_servers.get(name)
-        if member is None or member.service != self._service:
-            return None
-        return member.agent_address.as_tuple()
+        fleets = [self.fleet]
+        if name not in self._ended_agents:
+            # An agent that was withdrawn or moved to another service may
+            # still own connections while it drains.
+            fleets.append(self._previous_tables.fleet)
+        members = (fleet.backend_servers.get(name) for fleet in fleets)
+        addresses = (
+            member.agent_address.as_tuple()
+            for member in members
+            if member is not None and member.service == self._service
+        )
+        return next(addresses, None)
 
     def _pass_to_next(self, envelope, packet, candidates):
         usable = (n for n in candidates if self._may_pass_to(n, envelope))
--- a/tests/agent/test_data_path_ended_agents.py
+++ b/tests/agent/test_data_path_ended_agents.py
@@ -34,19 +34,23 @@
     return release_note.apply_release_note(fleet, note)
 
 
+def _server(number):
+    return {
+        'name': f'audio-{number}',
+        'service': 'audio',
+        'agent_address': str(_agent_address(number)),
+        'server_address': f'127.0.0.1:{8200 + number}',
+        'data_centre': 'thies',
+    }
+
+
 def _four_agents():
-    servers = [
-        {
-            'name': f'audio-{number}',
-            'service': 'audio',
-            'agent_address': str(_agent_address(number)),
-            'server_address': f'127.0.0.1:{8200 + number}',
-            'data_centre': 'thies',
-        }
-        for number in range(4)
+    servers = [_server(number) for number in range(4)]
+    services = [
+        {'name': 'audio', 'address': _SERVICE_ADDRESS},
+        {'name': 'ticketing', 'address': '127.0.0.1:8001'},
     ]
-    service = {'name': 'audio', 'address': _SERVICE_ADDRESS}
-    added = {'services': [service], 'backend_servers': servers}
+    added = {'services': services, 'backend_servers': servers}
     return _apply(fleet_module.Fleet(), added=added)
 
 
@@ -55,9 +59,9 @@
     return []
 
 
-@pytest.fixture
-def data_path(sent):
-    """The data path of audio-0 after audio-3 has been withdrawn."""
+@pytest.fixture(params=['withdrawn', 'moved'])
+def data_path(sent, request):
+    """The data path of audio-0 after audio-3 has left the service."""
     clock = clock_module.make_system_clock()
     fleet = _four_agents()
     data_path = data_path_module.DataPath(
@@ -75,9 +79,12 @@
         counters=data_path_counters.DataPathCounters(),
     )
     data_path.started = True
-    data_path.set_fleet(
-        _apply(fleet, withdrawn={'backend_servers': ['audio-3']})
-    )
+    if request.param == 'withdrawn':
+        sections = {'withdrawn': {'backend_servers': ['audio-3']}}
+    else:
+        entry = {**_server(3), 'service': 'ticketing'}
+        sections = {'changed': {'backend_servers': [entry]}}
+    data_path.set_fleet(_apply(fleet, **sections))
     return data_path
 
 
@@ -103,19 +110,19 @@
     data_path.on_data(envelope, ('127.0.0.1', 3))
 
 
-def _connection_of_withdrawn(data_path):
+def _connection_of_leaver(data_path):
     table = data_path._previous_tables.table('audio')
     return next(n for n in range(1000) if table.owner(n) == 'audio-3')
 
 
 def test_draining_agent_is_asked_for_its_connections(data_path, sent):
-    _deliver(data_path, _connection_of_withdrawn(data_path))
+    _deliver(data_path, _connection_of_leaver(data_path))
     assert [to for _, to in sent] == [_agent_address(3).as_tuple()]
 
 
 def test_ended_agent_is_not_asked_again(data_path, sent):
     # Otherwise the packet was lost each time that it was sent again.
-    connection_id = _connection_of_withdrawn(data_path)
+    connection_id = _connection_of_leaver(data_path)
     data_path.on_unreachable(_agent_address(3).as_tuple())
     _deliver(data_path, connection_id)
     ((_, destination),) = sent
@@ -125,7 +132,7 @@
 
 def test_unreachable_member_is_avoided_for_a_while(data_path, sent):
     data_path.on_unreachable(_agent_address(1).as_tuple())
-    _deliver(data_path, _connection_of_withdrawn(data_path), ['audio-3'])
+    _deliver(data_path, _connection_of_leaver(data_path), ['audio-3'])
     ((_, destination),) = sent
     assert destination == _agent_address(2).as_tuple()
 
