--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -133,8 +133,6 @@
             if server is not None:
                 limit = self._placement.limit_after_wait(opening, server)
             if limit is None:
-                if self.waiting.extend(opening):
-                    continue
                 packet = self._format.read_from_client(opening.data)
                 waited_ms = self._clock.monotonic_ms() - opening.since_ms
                 self._refuse_busy(packet, opening.service, waited_ms)
--- a/packages/flows/src/kingcupport/flows/opening_queue.py
+++ b/packages/flows/src/kingcupport/flows/opening_queue.py
@@ -28,10 +28,6 @@
 # client sends its first copy after 200 ms; without it, it may have given up.
 TIMEOUT_SHARE = 0.25
 MAX_WAIT_MS = 200
-# A flow that cannot be in time any more waits for room until so long after
-# its client's first packet. The client gives up after 1,400 ms; the handshake
-# and a packet that is lost on the way take the rest.
-LATE_WAIT_MS = 1_100
 # Of routes that name no times.
 DEFAULT_TARGET_MS = 200
 DEFAULT_TIMEOUT_MS = 1_000
@@ -138,23 +134,6 @@
         self._waiting[opening.flow] = opening
         self._push(self._timely, opening)
 
-    def extend(self, opening):
-        """Let a late opening packet wait as long as its client does.
-
-        Args:
-            opening: WaitingOpening that was due.
-
-        Returns:
-            Whether there was time left.
-        """
-        until_ms = opening.opened_ms + LATE_WAIT_MS
-        if until_ms <= self._clock.monotonic_ms():
-            return False
-        opening.deadline_ms = until_ms
-        self._waiting[opening.flow] = opening
-        self._push(self._late, opening)
-        return True
-
     def is_late(self, opening):
         """Whether the request of a WaitingOpening cannot be in time."""
         return opening.start_by_ms <= self._clock.monotonic_ms()
