--- a/packages/agent/src/kingcupport/agent/flow_counters.py
+++ b/packages/agent/src/kingcupport/agent/flow_counters.py
@@ -18,6 +18,7 @@
     packets_to_clients: int = 0
     packets_malformed: int = 0
     datagrams_malformed: int = 0
+    probes: int = 0
     bounces: int = 0
     declines: int = 0
     flows_accepted: int = 0
--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -87,10 +87,12 @@
             self._on_envelope(datagram, source)
             self._report_change()
         elif isinstance(datagram, flow_datagrams.FlowQuery):
-            status = flow_datagrams.FlowStatus(
-                datagram.flow, int(self.held_flows.holding(datagram))
+            holding = self.held_flows.holding(
+                datagram.flow, datagram.acknowledged
             )
-            self._send_to_balancer(flow_datagrams.encode(status), source)
+            self._send_status(datagram.flow, holding, source)
+        elif isinstance(datagram, flow_datagrams.FlowProbe):
+            self._on_probe(datagram.packet_data, source)
         elif isinstance(datagram, flow_datagrams.AgentGreeting):
             interval_ms = min(datagram.interval_ms, MAX_GREETING_INTERVAL_MS)
             self._subscribers[source] = (
@@ -163,7 +165,24 @@
             if held_flow.is_held:
                 # This balancer does not know that the server holds the flow:
                 # it missed the status, or another one sent the first copy.
-                self._send_held_status(packet.flow, source)
+                self._send_status(
+                    packet.flow, flow_datagrams.Holding.YES, source
+                )
+
+    def _on_probe(self, data, source):
+        packet = self._format.read_from_client(data)
+        if packet is None or packet.is_open:
+            self._counters.packets_malformed += 1
+            return
+        holding = self.held_flows.holding(packet.flow, packet.acknowledged)
+        if holding == flow_datagrams.Holding.UNKNOWN:
+            self._counters.probes += 1
+            self.held_flows.on_probe(packet, data, source)
+            self._send_to_server(
+                data, self._settings.server_address.as_tuple()
+            )
+        else:
+            self._send_status(packet.flow, holding, source)
 
     def _decline_reason(self, envelope, packet):
         if envelope.service not in ('', self._settings.service):
@@ -196,6 +215,13 @@
         )
 
     def _on_answer(self, packet, data):
+        probe = self.held_flows.take_probe(packet.flow)
+        if probe is not None:
+            held_flow = self.held_flows.on_client_packet(
+                probe.packet, probe.data, probe.balancer
+            )
+            if probe.packet.data_bytes:
+                self._record_request(held_flow, probe.packet, probe.data)
         status = (
             self._format.answer_status(data) if packet.data_bytes else None
         )
@@ -204,17 +230,17 @@
         )
         if is_first and held_flow.balancer is not None:
             self._counters.flows_accepted += 1
-            self._send_held_status(packet.flow, held_flow.balancer)
+            self._send_status(
+                packet.flow, flow_datagrams.Holding.YES, held_flow.balancer
+            )
         if took_ms is not None:
             self._record_answer(held_flow, packet, status, took_ms)
         self._counters.packets_to_clients += 1
         self._send_to_client(data, self._format.client_address(packet.flow))
         return held_flow.balancer
 
-    def _send_held_status(self, flow, balancer):
-        status = flow_datagrams.FlowStatus(
-            flow, int(flow_datagrams.Holding.YES)
-        )
+    def _send_status(self, flow, holding, balancer):
+        status = flow_datagrams.FlowStatus(flow, int(holding))
         self._send_to_balancer(flow_datagrams.encode(status), balancer)
 
     def _record_answer(self, held_flow, packet, status, took_ms):
@@ -233,6 +259,15 @@
 
     def _on_bounce(self, packet, data):
         self._counters.bounces += 1
+        probe = None
+        if not packet.is_open:
+            probe = self.held_flows.take_probe(packet.flow)
+        if probe is not None:
+            self.held_flows.is_silent = False
+            self._send_status(
+                packet.flow, flow_datagrams.Holding.NO, probe.balancer
+            )
+            return None
         held_flow, reason = self.held_flows.on_bounce(packet)
         if held_flow is None or held_flow.balancer is None:
             return None
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -119,13 +119,17 @@
         elif packet.is_open:
             self.opener.on_opening(packet, data, route)
         elif entry is None:
-            self.finder.find(packet, data, route)
+            self.finder.find(packet, data)
         elif self._index.is_replaced(entry):
             self.table.forget(packet.flow)
             self._refusals.reset(
                 packet, 'server was replaced', entry.server_name
             )
         else:
+            if not entry.is_accepted:
+                # The client has got a server's answer to its opening packet,
+                # so the agent's status was lost.
+                self._set_accepted(entry)
             if packet.is_close:
                 entry.is_closing = True
             self._forward(entry, data)
@@ -158,6 +162,7 @@
         """Remove expired flows, servers and loads; called periodically."""
         self.table.drop_expired()
         self._index.drop_expired()
+        self.finder.drop_expired()
         self.loads.retain(self._index.known_ips())
 
     def handle_early_packets(self):
@@ -193,11 +198,14 @@
         entry = self.table.get(status.flow)
         is_held = status.holding == flow_datagrams.Holding.YES
         if is_held and entry is not None and entry.ip == ip:
-            entry.is_accepted = True
-            entry.opening_data = b''
-            self.loads.on_opening_resolved(ip, status.flow)
+            self._set_accepted(entry)
         self.finder.on_status(ip, status)
 
+    def _set_accepted(self, entry):
+        entry.is_accepted = True
+        entry.opening_data = b''
+        self.loads.on_opening_resolved(entry.ip, entry.flow)
+
     def _on_decline(self, ip, decline):
         packet = self._format.read_from_client(decline.packet_data)
         if packet is None or decline.reason not in _DECLINE_REASONS:
@@ -223,12 +231,7 @@
             self._forward(entry, decline.packet_data)
             return
         self.table.forget(packet.flow)
-        self.finder.find(
-            packet,
-            decline.packet_data,
-            self._find_route(packet.flow),
-            answered=(ip,),
-        )
+        self.finder.find(packet, decline.packet_data, answered=(ip,))
 
     def _on_report(self, ip, report):
         load = self.loads.get(ip)
--- a/packages/balancer/src/kingcupport/balancer/holder_finder.py
+++ b/packages/balancer/src/kingcupport/balancer/holder_finder.py
@@ -1,21 +1,26 @@
 """Finds the server that holds a flow which is not in the table."""
 
-import itertools
-
 from kingcupport.flows import holder_search
 from kingcupport.wire import flow_datagrams
 
-# In fleets up to this size, all agents are queried for the holder of a flow;
-# in larger ones, only the agents of the route's services.
-MAX_QUERIED_AGENTS = 128
+# An agent that could not tell about one flow has usually started after its
+# server; for this long it is sent the packets of further flows at once.
+UNDETERMINED_MS = 2_000
+# A server that the view has not listed for this long has left if its agent
+# does not answer either. Until then the entry may have lapsed by an outage.
+UNLISTED_MS = 3_000
+# The agent of an unlisted server has had no answer for this long: more than
+# one lost datagram explains.
+UNANSWERED_MS = 400
 
 
 class HolderFinder:
-    """Queries the agents for the holders of flows.
+    """Asks the agents for the holders of flows.
 
-    If no agent reports the flow as held, the agents that could not tell are
-    probed one by one: the packet is sent to their servers, and a server that
-    does not hold the flow returns it.
+    An agent that has started after its server cannot tell. It is sent the
+    packet as a probe: a server that does not hold the flow returns it. All
+    agents are asked at the same time and at most once for a flow, so that the
+    retransmissions of a lost flow cost nothing more.
 
     Args:
         clock: Clock.
@@ -39,6 +44,7 @@
         decisions,
         send_to,
     ):
+        self._clock = clock
         self._format = packet_format
         self._index = index
         self._table = table
@@ -47,37 +53,40 @@
         self._decisions = decisions
         self._send_to = send_to
         self._searches = holder_search.make_holder_searches(clock)
+        self._undetermined_until_ms = {}
+        # Since when the agents have not answered.
+        self._unanswered_since_ms = {}
 
     def __len__(self):
         """Return the number of searches in progress."""
         return len(self._searches)
 
-    def find(self, packet, data, route, answered=()):
+    def find(self, packet, data, answered=()):
         """Search for the holder of a packet's flow and keep the packet.
 
         Args:
             packet: FlowPacket.
             data: Its bytes.
-            route: FlowRoute of the flow, or None.
             answered: Addresses of agents whose servers are known not to hold
                 the flow.
         """
-        search = self._searches.get(packet.flow)
-        if search is not None:
-            self._searches.add_packet(search, packet, data)
+        search = self._searches.add_packet(packet, data)
+        search.ruled_out |= set(answered)
+        if search.is_running:
             return
-        ips, is_complete = self._possible_holders(route)
-        search = self._searches.start(
-            packet, data, ips - set(answered), is_complete=is_complete
-        )
-        if search is None:
+        ips = self._index.known_ips() - search.ruled_out
+        if not ips:
+            self._finish_without_holder(search)
+            return
+        if not self._searches.start(search, ips):
             return
         self._counters.searches += 1
         query = flow_datagrams.FlowQuery(packet.flow, packet.acknowledged)
-        for ip in search.unanswered:
-            self._send_to(ip, query)
-        if not search.unanswered:
-            self._continue_search(search)
+        probe = flow_datagrams.FlowProbe(data)
+        now_ms = self._clock.monotonic_ms()
+        for ip in ips:
+            is_undetermined = self._undetermined_until_ms.get(ip, 0) > now_ms
+            self._send_to(ip, probe if is_undetermined else query)
 
     def on_status(self, ip, status):
         """Handle the answer of an agent.
@@ -86,13 +95,17 @@
             ip: Address of the agent.
             status: FlowStatus.
         """
-        search = self._searches.on_status(ip, status)
+        self._unanswered_since_ms.pop(ip, None)
+        if status.holding == flow_datagrams.Holding.UNKNOWN:
+            self._probe(ip, status.flow)
+            return
+        search = self._searches.on_answer(ip, status)
         if search is None:
             return
         if status.holding == flow_datagrams.Holding.YES:
             self._finish_found(search, ip)
         else:
-            self._continue_search(search)
+            self._finish_without_holder(search)
 
     def on_not_held(self, ip, flow):
         """Record that a server returned a packet of a flow it does not hold.
@@ -104,7 +117,8 @@
         Returns:
             Whether a search for the flow is in progress.
         """
-        if self._searches.get(flow) is None:
+        search = self._searches.get(flow)
+        if search is None or not search.is_running:
             return False
         not_held = int(flow_datagrams.Holding.NO)
         self.on_status(ip, flow_datagrams.FlowStatus(flow, not_held))
@@ -115,42 +129,61 @@
         self._searches.end(flow)
 
     def check_searches(self):
-        """Continue the searches that have timed out without all answers."""
-        for search in self._searches.expired():
-            search.is_complete = search.is_complete and not (
-                search.unanswered or search.probed
-            )
-            search.unanswered.clear()
-            search.probed.clear()
-            self._continue_search(search)
-
-    def _possible_holders(self, route):
-        ips = self._index.known_ips()
-        if len(ips) <= MAX_QUERIED_AGENTS:
-            return ips, bool(ips) and self._refusals.has_fresh_view()
-        names = route.service_names if route is not None else ()
-        chosen = itertools.chain.from_iterable(
-            self._index.by_service.get(name, ()) for name in names
+        """End the searches that have timed out without all answers."""
+        now_ms = self._clock.monotonic_ms()
+        for search in self._searches.overdue():
+            for ip in self._searches.stop(search):
+                self._unanswered_since_ms.setdefault(ip, now_ms)
+            self._finish_without_holder(search)
+
+    def drop_expired(self):
+        """Forget old answers; called periodically."""
+        self._searches.drop_expired()
+        now_ms = self._clock.monotonic_ms()
+        self._undetermined_until_ms = {
+            ip: until_ms
+            for ip, until_ms in self._undetermined_until_ms.items()
+            if until_ms > now_ms
+        }
+        known_ips = self._index.known_ips()
+        self._unanswered_since_ms = {
+            ip: since_ms
+            for ip, since_ms in self._unanswered_since_ms.items()
+            if ip in known_ips
+        }
+
+    def _probe(self, ip, flow):
+        self._undetermined_until_ms[ip] = (
+            self._clock.monotonic_ms() + UNDETERMINED_MS
         )
-        # Not complete: a flow stays with its server when its route changes to
-        # another service.
-        return {server.ip for server in chosen}, False
-
-    def _continue_search(self, search):
-        ip = self._searches.start_probe(search)
-        packet, data = search.packets[0]
-        if ip is not None:
-            server = self._index.by_ip.get(ip)
-            service = server.service if server is not None else ''
-            self._send_to(ip, flow_datagrams.FlowEnvelope(service, 0, data))
-            return
-        if search.probed:
+        search = self._searches.get(flow)
+        if search is None or ip not in search.unanswered:
             return
-        self._searches.end(search.flow)
-        if search.is_complete:
-            self._refusals.reset(packet, 'no server holds the flow', None)
-        else:
+        _, data = search.packets[0]
+        self._send_to(ip, flow_datagrams.FlowProbe(data))
+
+    def _finish_without_holder(self, search):
+        packet, _ = search.packets[0]
+        search.packets.clear()
+        known_ips = self._index.known_ips()
+        possible_ips = known_ips - search.ruled_out - self._left_ips()
+        if possible_ips:
             self._refusals.drop(search.flow, 'holder not found')
+        elif not self._refusals.has_fresh_view():
+            self._refusals.drop(search.flow, 'no holder, and the view is old')
+        else:
+            # Shared by all searches that have ended like this.
+            search.ruled_out = known_ips
+            self._refusals.reset(packet, 'no server holds the flow', None)
+
+    def _left_ips(self):
+        now_ms = self._clock.monotonic_ms()
+        return {
+            ip
+            for ip in self._index.removed_before(now_ms - UNLISTED_MS)
+            if now_ms - self._unanswered_since_ms.get(ip, now_ms)
+            >= UNANSWERED_MS
+        }
 
     def _finish_found(self, search, ip):
         self._counters.flows_found += 1
@@ -169,3 +202,4 @@
             service = server.service
         for _, data in search.packets:
             self._send_to(ip, flow_datagrams.FlowEnvelope(service, 0, data))
+        self._searches.end(search.flow)
--- a/packages/balancer/src/kingcupport/balancer/server_index.py
+++ b/packages/balancer/src/kingcupport/balancer/server_index.py
@@ -20,7 +20,8 @@
         self._max_flow_ms = max_flow_ms
         self.by_ip = {}
         self.by_service = {}
-        self._removed_until_ms = {}
+        self._removed_ms = {}
+        self._known_ips = frozenset()
         view.on_change(self._on_view_change)
 
     def known_ips(self):
@@ -28,17 +29,33 @@
 
         These include servers that were removed from the view less than the
         maximum age of a flow ago, because they may still serve their flows.
+
+        Returns:
+            A frozenset, the same one until a server is added or removed.
         """
-        return set(self.by_ip) | set(self._removed_until_ms)
+        return self._known_ips
+
+    def removed_before(self, time_ms):
+        """Return the addresses without a listed server since a time.
+
+        Args:
+            time_ms: Time on the monotonic clock.
+        """
+        return {
+            ip
+            for ip, removed_ms in self._removed_ms.items()
+            if removed_ms <= time_ms and ip not in self.by_ip
+        }
 
     def drop_expired(self):
         """Forget removed servers whose flows have reached the maximum age."""
-        now_ms = self._clock.monotonic_ms()
-        self._removed_until_ms = {
-            ip: deadline_ms
-            for ip, deadline_ms in self._removed_until_ms.items()
-            if deadline_ms > now_ms
+        oldest_ms = self._clock.monotonic_ms() - self._max_flow_ms
+        self._removed_ms = {
+            ip: removed_ms
+            for ip, removed_ms in self._removed_ms.items()
+            if removed_ms > oldest_ms
         }
+        self._update_known_ips()
 
     def is_listed(self, entry):
         """Whether the view lists the server of a flow.
@@ -72,9 +89,15 @@
         for server in servers:
             if self.by_ip[server.ip] is server:
                 self.by_service.setdefault(server.service, []).append(server)
-        deadline_ms = self._clock.monotonic_ms() + self._max_flow_ms
+        now_ms = self._clock.monotonic_ms()
         for ip in previous_ips - set(self.by_ip):
-            self._removed_until_ms[ip] = deadline_ms
+            self._removed_ms[ip] = now_ms
+        self._update_known_ips()
+
+    def _update_known_ips(self):
+        known_ips = self.by_ip.keys() | self._removed_ms.keys()
+        if known_ips != self._known_ips:
+            self._known_ips = frozenset(known_ips)
 
 
 def _start_order(server):
--- a/packages/flows/src/kingcupport/flows/holder_search.py
+++ b/packages/flows/src/kingcupport/flows/holder_search.py
@@ -1,5 +1,7 @@
 """State of the searches for the server that holds an unknown flow."""
 
+import collections
+
 import attrs
 
 from kingcupport.wire import flow_datagrams
@@ -7,12 +9,20 @@
 # A query and its answer take at most 2 ms between data centres; an agent that
 # has only a fraction of a core may answer later.
 SEARCH_TIMEOUT_MS = 60
-# Time for an agent to accept or return a probe; clients retransmit a packet
+# Searches that wait for answers; each has one datagram to every agent in
+# flight. A client sends the packet of a search that was not started again
 # after 200 ms.
-PROBE_TIMEOUT_MS = 60
-MAX_SEARCHES = 1_024
+MAX_RUNNING_SEARCHES = 256
+# Answers are remembered for this long after the last packet of the flow,
+# because its client retransmits at intervals of up to 1,600 ms.
+RETENTION_MS = 5_000
+MAX_SEARCHES = 2_048
 # Client and server each have at most 16 packets in flight.
 MAX_PACKETS_PER_SEARCH = 16
+# A client's acknowledgements on one flow differ by less than this; a larger
+# difference is a later flow with the same addresses and ports.
+MAX_ACKNOWLEDGED_BYTES = 1 << 24
+_SEQUENCE_MODULUS = 1 << 32
 
 
 @attrs.define
@@ -21,27 +31,35 @@
 
     Args:
         flow: Bytes that identify the flow.
+        acknowledged: Sequence number that its client's first packet
+            acknowledged.
+        expires_ms: When it is forgotten, on the monotonic clock.
         packets: ``(FlowPacket, bytes)`` pairs that wait for the result.
         unanswered: Addresses of the agents that have not answered.
-        undetermined: Addresses of the agents that could not tell and whose
-            servers were not probed yet.
-        probed: Addresses of the agents whose servers were sent a packet.
-        deadline_ms: When the search times out, on the monotonic clock.
-        is_complete: Whether every agent whose server may hold the flow was
-            queried.
+        ruled_out: Addresses of the agents whose servers do not hold the flow.
+        deadline_ms: When it stops waiting for answers, on the monotonic
+            clock.
     """
 
     flow: bytes
-    packets: list
-    unanswered: set
-    deadline_ms: float
-    is_complete: bool
-    undetermined: set = attrs.field(factory=set)
-    probed: set = attrs.field(factory=set)
+    acknowledged: int
+    expires_ms: float
+    packets: list = attrs.field(factory=list)
+    unanswered: set = attrs.field(factory=set)
+    ruled_out: frozenset = frozenset()
+    deadline_ms: float = 0.0
+
+    @property
+    def is_running(self):
+        """Whether it waits for answers."""
+        return bool(self.unanswered)
 
 
 class HolderSearches:
-    """The searches of one balancer that are in progress.
+    """The searches of one balancer and the answers that they got.
+
+    An agent that has ruled out a flow is not asked again: a flow never moves
+    to another server.
 
     Args:
         clock: Clock.
@@ -52,91 +70,132 @@
 
     def __init__(self, clock):
         self._clock = clock
-        self._searches = {}
+        self._searches = collections.OrderedDict()
+        self._running = {}
         self.refused_count = 0
 
     def __len__(self):
-        """Return the number of searches in progress."""
-        return len(self._searches)
+        """Return the number of searches that wait for answers."""
+        return len(self._running)
 
     def get(self, flow):
         """Return the HolderSearch for a flow, or None."""
         return self._searches.get(flow)
 
-    def start(self, packet, data, ips, *, is_complete):
-        """Start a search for the server that holds a packet's flow.
+    def add_packet(self, packet, data):
+        """Add a packet to the search for its flow.
 
         Args:
             packet: FlowPacket.
             data: Its bytes.
-            ips: Addresses of the agents that are queried.
-            is_complete: Whether no other agent's server may hold the flow.
 
         Returns:
-            The HolderSearch, or None if too many are in progress.
+            The HolderSearch, which is created if the flow has none.
         """
-        if len(self._searches) >= MAX_SEARCHES:
-            self.refused_count += 1
-            return None
-        search = HolderSearch(
-            packet.flow,
-            [(packet, data)],
-            set(ips),
-            self._clock.monotonic_ms() + SEARCH_TIMEOUT_MS,
-            is_complete,
-        )
-        self._searches[packet.flow] = search
-        return search
-
-    def add_packet(self, search, packet, data):
-        """Keep a further packet until the search ends, up to the limit."""
+        search = self._searches.get(packet.flow)
+        if search is None or _is_later_flow(search, packet):
+            self.end(packet.flow)
+            search = HolderSearch(packet.flow, packet.acknowledged, 0.0)
+            self._searches[packet.flow] = search
+        self._searches.move_to_end(packet.flow)
+        search.expires_ms = self._clock.monotonic_ms() + RETENTION_MS
         if len(search.packets) < MAX_PACKETS_PER_SEARCH:
             search.packets.append((packet, data))
+        if len(self._searches) > MAX_SEARCHES:
+            self.end(next(iter(self._searches)))
+        return search
 
-    def on_status(self, ip, status):
-        """Record the answer of an agent.
+    def start(self, search, ips):
+        """Wait for the answers of agents.
+
+        Args:
+            search: HolderSearch that is not running.
+            ips: Addresses of the agents that are asked; at least one.
+
+        Returns:
+            Whether it was started; else too many are running.
+        """
+        if len(self._running) >= MAX_RUNNING_SEARCHES:
+            self.refused_count += 1
+            search.packets.clear()
+            return False
+        search.unanswered = set(ips)
+        search.deadline_ms = self._clock.monotonic_ms() + SEARCH_TIMEOUT_MS
+        self._running[search.flow] = search
+        return True
+
+    def on_answer(self, ip, status):
+        """Record the answer of an agent that could tell.
 
         Args:
             ip: Address of the agent.
-            status: wire.flow_datagrams.FlowStatus.
+            status: wire.flow_datagrams.FlowStatus with YES or NO.
 
         Returns:
-            The HolderSearch if the holder was found or no answer is
+            The HolderSearch if the holder was found or if no answer is
             outstanding, else None.
         """
         search = self._searches.get(status.flow)
         if search is None:
             return None
-        search.unanswered.discard(ip)
         if status.holding == flow_datagrams.Holding.YES:
-            return self._searches.pop(status.flow)
-        if status.holding == flow_datagrams.Holding.UNKNOWN:
-            search.undetermined.add(ip)
-        else:
-            search.probed.discard(ip)
-        return None if search.unanswered else search
-
-    def start_probe(self, search):
-        """Select the next agent whose server is probed with a packet.
-
-        Returns:
-            Its address, or None if none is left.
-        """
-        if not search.undetermined:
+            return search
+        search.ruled_out |= {ip}
+        if ip not in search.unanswered:
             return None
-        ip = search.undetermined.pop()
-        search.probed.add(ip)
-        search.deadline_ms = self._clock.monotonic_ms() + PROBE_TIMEOUT_MS
-        return ip
+        search.unanswered.discard(ip)
+        if search.unanswered:
+            return None
+        self.stop(search)
+        return search
 
     def end(self, flow):
-        """Discard the search for a flow, if there is one."""
+        """Forget the search for a flow, if there is one."""
         self._searches.pop(flow, None)
+        self._running.pop(flow, None)
+
+    def overdue(self):
+        """Return the searches past the deadline for their answers."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            search
+            for search in self._running.values()
+            if now_ms >= search.deadline_ms
+        ]
+
+    def stop(self, search):
+        """Stop waiting for answers.
+
+        Args:
+            search: HolderSearch that is running.
+
+        Returns:
+            The addresses of the agents that have not answered.
+        """
+        unanswered, search.unanswered = search.unanswered, set()
+        self._running.pop(search.flow, None)
+        return unanswered
 
-    def expired(self):
-        """Return the searches that have timed out."""
+    def drop_expired(self):
+        """Forget the searches whose flows have had no packet for a while."""
         now_ms = self._clock.monotonic_ms()
-        return [s for s in self._searches.values() if now_ms >= s.deadline_ms]
+        expired = [
+            flow
+            for flow, search in self._searches.items()
+            if now_ms >= search.expires_ms and not search.is_running
+        ]
+        for flow in expired:
+            del self._searches[flow]
+
+
+def _is_later_flow(search, packet):
+    difference = (
+        packet.acknowledged - search.acknowledged
+    ) % _SEQUENCE_MODULUS
+    return (
+        min(difference, _SEQUENCE_MODULUS - difference)
+        > MAX_ACKNOWLEDGED_BYTES
+    )
 
 
 def make_holder_searches(clock):
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -185,6 +185,21 @@
     peer_ips: list
 
 
+@_register_datagram(8)
+@attrs.define
+class FlowProbe:
+    """Carries a client's packet to a server that may hold its flow.
+
+    The agent answers with a FlowStatus: at once if it knows whether its server
+    holds the flow, else when the server has accepted or returned the packet.
+
+    Args:
+        packet_data: Bytes of the packet.
+    """
+
+    packet_data: bytes = b''
+
+
 def _header_fields(datagram_class):
     return [
         field
--- /dev/null
+++ b/tests/balancer/test_flow_recovery.py
@@ -0,0 +1,179 @@
+"""Simulates fleets that lose their flows and checks what clients are told."""
+
+import flow_fleet_simulation
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+# A lost flow costs a query or probe and an answer for each agent, and twice
+# that where an agent cannot tell.
+MAX_DATAGRAMS_PER_AGENT = 4
+# Datagrams of a flow that a client opens instead, with all copies.
+MAX_DATAGRAMS_PER_OPENING = 20
+MAX_NOTICE_MS = 500
+BALANCERS = 16
+SERVERS = 45
+
+
+def make_fleet(seed, flows, **fields):
+    """Return a fleet and its clients, each with an idle open flow."""
+    values = {
+        'balancers': BALANCERS,
+        'servers': SERVERS,
+        'slots': 3,
+        'mean_work_ms': 20,
+    }
+    fleet = flow_fleet_simulation.FlowFleetSimulation(seed, **values | fields)
+    requests = []
+    for _ in range(flows):
+        requests.append(fleet.ask())
+        fleet.run(4)
+    fleet.run(2_000)
+    assert all(request.answered_ms is not None for request in requests)
+    return fleet, requests
+
+
+def restart(fleet, *, servers):
+    """Restart all processes, as after a kill or a loss of power."""
+    for node in fleet.nodes:
+        if servers:
+            node.start_server()
+        node.start_agent()
+    for balancer in fleet.balancers:
+        balancer.start()
+    fleet.greet()
+    fleet.run(10)
+
+
+def check_datagrams(fleet, requests, extra_per_flow=0):
+    """Check the datagrams but for greetings and load reports."""
+    count = sum(
+        count
+        for name, count in fleet.messages.items()
+        if name not in ('AgentGreeting', 'LoadReport')
+    )
+    per_flow = MAX_DATAGRAMS_PER_AGENT * len(fleet.nodes) + extra_per_flow
+    placed = sum(b.counters.flows_placed for b in fleet.balancers)
+    assert count <= (
+        per_flow * len(requests) + MAX_DATAGRAMS_PER_OPENING * placed
+    )
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_clients_learn_soon_that_all_flows_are_lost(seed):
+    """Load: each client sends its next request on a flow that is lost."""
+    fleet, requests = make_fleet(seed, 1_000)
+    restart(fleet, servers=True)
+    fleet.messages.clear()
+    restarted_ms = fleet.clock.monotonic_ms()
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(400)
+    late = [
+        request
+        for request in requests
+        if request.reset_ms is None
+        or request.reset_ms > restarted_ms + MAX_NOTICE_MS
+    ]
+    assert not late
+    searched = sum(b.counters.searches for b in fleet.balancers)
+    assert searched <= len(requests)
+    check_datagrams(fleet, requests)
+    fleet.run(600)
+    fresh = []
+    for _ in range(100):
+        fresh.append(fleet.ask())
+        fleet.run(4)
+    fleet.run(1_000)
+    in_time = [
+        request
+        for request in fresh
+        if request.answered_ms is not None
+        and request.answered_ms - request.asked_ms <= fleet.target_ms
+    ]
+    assert len(in_time) >= 0.97 * len(fresh)
+
+
+def test_flows_survive_a_restart_of_all_processes_of_the_system():
+    """The servers live: no flow may be reset, and each holder is found."""
+    fleet, requests = make_fleet(3, 200)
+    restart(fleet, servers=False)
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(2_000)
+    assert not fleet.untrue_resets
+    assert all(request.reset_ms is None for request in requests)
+    assert all(request.answered_ms is not None for request in requests)
+    served = sum(node.server.served_count for node in fleet.nodes)
+    assert served >= 2 * len(requests)
+
+
+def test_a_lost_flow_is_searched_once_while_its_client_retransmits():
+    """A silent agent keeps the search open; the others are not asked again."""
+    fleet, requests = make_fleet(4, 20, balancers=2, servers=10)
+    restart(fleet, servers=True)
+    fleet.nodes[0].stop_agent()
+    fleet.messages.clear()
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(2_000)
+    assert not any(request.reset_ms for request in requests)
+    # One round over all agents, then one query for each retransmission.
+    retransmissions = len(flow_fleet_simulation.RETRANSMISSION_DELAYS_MS)
+    check_datagrams(fleet, requests, extra_per_flow=retransmissions)
+    fleet.nodes[0].start_agent()
+    fleet.greet()
+    fleet.run(2_000)
+    assert all(request.reset_ms is not None for request in requests)
+
+
+def test_probes_do_not_count_as_load():
+    fleet, requests = make_fleet(5, 50, balancers=2, servers=10)
+    restart(fleet, servers=True)
+    fleet.messages.clear()
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(150)
+    probes = sum(node.counters.probes for node in fleet.nodes)
+    assert probes >= 0.9 * len(requests) * len(fleet.nodes)
+    # The retries of the clients change the load; the probes must not.
+    placed = sum(b.counters.flows_placed for b in fleet.balancers)
+    assert fleet.messages['LoadReport'] <= 4 * len(fleet.balancers) * placed
+
+
+@hypothesis.settings(max_examples=40, deadline=None)
+@hypothesis.given(
+    seed=strategies.integers(0, 1 << 16),
+    loss=strategies.sampled_from((0.0, 0.05, 0.3)),
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(('agent', 'server', 'balancer', 'move')),
+            strategies.integers(0, 3),
+            strategies.sampled_from((0, 30, 250)),
+        ),
+        max_size=8,
+    ),
+)
+def test_no_open_flow_is_reset_while_its_server_holds_it(seed, loss, steps):
+    """Restarts, moved flows and lost datagrams in any order."""
+    fleet = flow_fleet_simulation.FlowFleetSimulation(
+        seed, balancers=3, servers=4, slots=4
+    )
+    requests = [fleet.ask() for _ in range(12)]
+    fleet.run(300)
+    fleet.loss = loss
+    for kind, number, pause_ms in steps:
+        if kind == 'agent':
+            fleet.nodes[number].start_agent()
+        elif kind == 'server':
+            fleet.nodes[number].start_server()
+        elif kind == 'balancer':
+            fleet.balancers[number % 3].start()
+        for request in requests[number::3]:
+            if request.answered_ms is not None:
+                if kind == 'move':
+                    request.balancer = fleet.rng.choice(fleet.balancers)
+                fleet.send_again(request)
+        fleet.run(pause_ms)
+    fleet.run(2_000)
+    assert not fleet.untrue_resets
--- /dev/null
+++ b/tests/flow_fleet_simulation.py
@@ -0,0 +1,465 @@
+"""Simulation of balancers, agents, servers and clients of forwarded flows.
+
+The balancers and agents are the product's data paths on one manual clock; the
+network, the servers and the clients are models. Nothing is lost unless a test
+takes a part down.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+import attrs
+import flow_support
+
+from kingcupport.agent import flow_counters as agent_counters
+from kingcupport.agent import flow_data_path as agent_data_path
+from kingcupport.agent import flow_settings as agent_settings
+from kingcupport.balancer import flow_counters as balancer_counters
+from kingcupport.balancer import flow_data_path as balancer_data_path
+from kingcupport.balancer import flow_settings as balancer_settings
+from kingcupport.balancer import flow_view_sync
+from kingcupport.common import address
+from kingcupport.flows import fleet_source
+from kingcupport.flows import fleet_view
+from kingcupport.observability import decision_log
+from kingcupport.wire import flow_datagrams
+
+FORMAT = flow_support.FORMAT
+AGENT_PORT = 8172
+SERVER_PORT = 8645
+PEER_PORT = 7720
+PROBE_PORT = 8167
+ONE_WAY_DELAY_MS = 0.6
+LOCAL_DELAY_MS = 0.1
+CLIENT_DELAY_MS = 3.0
+CHECK_INTERVAL_MS = 40
+# Times after the first copy at which a client sends its opening packet, and
+# the time at which it gives up.
+COPY_DELAYS_MS = (0, 200, 600)
+OPEN_TIMEOUT_MS = 1_400
+RETRANSMISSION_DELAYS_MS = (200, 600, 1_400, 3_000)
+MAX_ATTEMPTS = 3
+
+
+class SimulatedServer:
+    """A server that runs up to ``slots`` requests at a time, in order."""
+
+    def __init__(self, fleet, node, slots, mean_work_ms):
+        self._fleet = fleet
+        self._node = node
+        self._slots = slots
+        self._mean_work_ms = mean_work_ms
+        self._waiting = collections.deque()
+        self._running_count = 0
+        self.sequences = {}
+        self.served_count = 0
+
+    def receive(self, data):
+        packet = FORMAT.read_from_client(data)
+        if packet.is_open:
+            sequence = self.sequences.setdefault(
+                packet.flow, self._fleet.rng.randrange(1, 1 << 32)
+            )
+            answer = FORMAT.make(
+                packet.flow,
+                from_client=False,
+                flags=flow_support.OPEN_ANSWER,
+                sequence=sequence,
+            )
+            self._send(answer)
+        elif packet.flow not in self.sequences:
+            self._send(FORMAT.bounce(data))
+        elif packet.data_bytes:
+            self._waiting.append(packet)
+            self._run_next()
+
+    def _run_next(self):
+        if self._running_count >= self._slots or not self._waiting:
+            return
+        self._running_count += 1
+        work_ms = self._fleet.rng.gammavariate(4, self._mean_work_ms / 4)
+        self._fleet.after(work_ms, self._finish, self._waiting.popleft())
+
+    def _finish(self, packet):
+        if self._node.server is not self:
+            return
+        self._running_count -= 1
+        self.served_count += 1
+        answer = FORMAT.make(
+            packet.flow,
+            from_client=False,
+            flags=flow_support.ACKNOWLEDGE,
+            sequence=self.sequences[packet.flow] + 1,
+            data=b'200',
+        )
+        self._send(answer)
+        self._run_next()
+
+    def _send(self, data):
+        self._fleet.after(
+            LOCAL_DELAY_MS, self._node.on_server_datagram, self, data
+        )
+
+
+class SimulatedNode:
+    """An instance with an agent and a server."""
+
+    def __init__(self, fleet, number, slots, mean_work_ms):
+        self._fleet = fleet
+        self._slots = slots
+        self._mean_work_ms = mean_work_ms
+        self.entry = flow_support.make_server(number, slots=slots)
+        self.ip = self.entry.ip
+        self.path = None
+        self.server = None
+        self.start_server()
+        self.start_agent(is_first_start=True)
+
+    def start_server(self):
+        self.server = SimulatedServer(
+            self._fleet, self, self._slots, self._mean_work_ms
+        )
+
+    def start_agent(self, *, is_first_start=False):
+        own = address.Address(self.ip, AGENT_PORT)
+        server = address.Address(self.ip, SERVER_PORT)
+        fleet = self._fleet
+        self.counters = agent_counters.FlowCounters()
+        self.path = agent_data_path.FlowDataPath(
+            agent_settings.FlowAgentSettings(
+                self.ip, 'gate', own, own, server, own, '/', is_first_start
+            ),
+            fleet.clock,
+            random.Random(fleet.rng.random()),
+            FORMAT,
+            self.counters,
+            decision_log.make_decision_log(fleet.clock),
+            send_to_server=lambda data, _: fleet.after(
+                LOCAL_DELAY_MS, self._deliver_to_server, data
+            ),
+            send_to_client=fleet.send_to_client,
+            send_to_balancer=self._send_to_balancer,
+            on_opening=lambda: None,
+        )
+
+    def stop_agent(self):
+        self.path = None
+
+    def on_balancer_datagram(self, data, source):
+        if self.path is not None:
+            self.path.on_balancer_datagram(data, source)
+
+    def on_server_datagram(self, server, data):
+        if self.path is not None and server is self.server:
+            self.path.on_server_datagram(data, None)
+
+    def _deliver_to_server(self, data):
+        self.server.receive(data)
+
+    def _send_to_balancer(self, data, destination):
+        balancer = self._fleet.balancers_by_ip[destination[0]]
+        self._fleet.transmit(data, balancer.on_agent_datagram, self.ip)
+
+
+class SimulatedBalancer:
+    """A balancer whose view a test sets."""
+
+    def __init__(self, fleet, number):
+        self._fleet = fleet
+        self.ip = f'10.1.0.{number + 1}'
+        self.path = None
+        self.counters = None
+        self.start()
+
+    def start(self):
+        fleet = self._fleet
+        own = address.Address(self.ip, AGENT_PORT)
+        peer = address.Address(self.ip, PEER_PORT)
+        probe = address.Address(self.ip, PROBE_PORT)
+        self.counters = balancer_counters.FlowCounters()
+        self._view = fleet_view.make_fleet_view(fleet.clock)
+        self.path = balancer_data_path.FlowDataPath(
+            balancer_settings.FlowBalancerSettings(
+                self.ip, 'dakar', own, peer, probe, '/ready', AGENT_PORT
+            ),
+            fleet.clock,
+            FORMAT,
+            self._view,
+            self.counters,
+            decision_log.make_decision_log(fleet.clock),
+            send_to_client=fleet.send_to_client,
+            send_to_agent=self._send_to_agent,
+        )
+        self.read()
+
+    def stop(self):
+        self.path = None
+
+    def read(self):
+        update = fleet_source.FleetUpdate(
+            10,
+            True,
+            configuration=flow_support.make_configuration(
+                target_ms=self._fleet.target_ms
+            ),
+            servers=[node.entry for node in self._fleet.nodes],
+        )
+        self._view.apply_update(update, self._fleet.clock.monotonic_ms())
+
+    def greet(self):
+        if self.path is None:
+            return
+        self._view.confirm(self._fleet.clock.monotonic_ms(), 10)
+        interval_ms = max(
+            flow_view_sync.GREETING_INTERVAL_MS,
+            1_000
+            * len(self._fleet.nodes)
+            / flow_view_sync.MAX_AGENT_GREETINGS_PER_S,
+        )
+        self.path.loads.report_expires_ms = (
+            flow_view_sync.GREETINGS_BEFORE_EXPIRY * interval_ms
+        )
+        greeting = flow_datagrams.encode(
+            flow_datagrams.AgentGreeting(self.ip, int(interval_ms))
+        )
+        for node in self._fleet.nodes:
+            self._send_to_agent(greeting, (node.ip, AGENT_PORT))
+
+    def check(self):
+        if self.path is None:
+            return
+        self.path.opener.check_openings()
+        self.path.opener.check_waiting()
+        self.path.finder.check_searches()
+
+    def on_client_datagram(self, data):
+        if self.path is not None:
+            self.path.on_client_datagram(data, None)
+
+    def on_agent_datagram(self, data, ip):
+        if self.path is not None:
+            self.path.on_agent_datagram(flow_datagrams.decode(data), ip)
+
+    def _send_to_agent(self, data, destination):
+        node = self._fleet.nodes_by_ip[destination[0]]
+        self._fleet.transmit(
+            data, node.on_balancer_datagram, (self.ip, PEER_PORT)
+        )
+
+
+@attrs.define
+class SimulatedRequest:
+    """A request of a client, with the outcome of its attempts.
+
+    Args:
+        asked_ms: When the client asked, on the monotonic clock.
+        balancer: SimulatedBalancer that the routers send the flow to.
+        flow: Flow of the current attempt.
+        attempts: Number of attempts.
+        answered_ms: When the answer arrived, or None.
+        reset_ms: When the first reset arrived, or None.
+        failed_ms: When the client gave up, or None.
+        sequence: Initial sequence number of the server that the client
+            communicates with; None until the flow is open.
+    """
+
+    asked_ms: float
+    balancer: SimulatedBalancer
+    flow: bytes
+    attempts: int = 1
+    answered_ms: float | None = None
+    reset_ms: float | None = None
+    failed_ms: float | None = None
+    sequence: int | None = None
+
+    @property
+    def is_finished(self):
+        return self.answered_ms is not None or self.failed_ms is not None
+
+
+class FlowFleetSimulation:
+    """A fleet in virtual time.
+
+    Args:
+        seed: Seed of all random numbers.
+        balancers: Number of balancers.
+        servers: Number of servers, each with an agent.
+        slots: Requests that a server runs at a time.
+        mean_work_ms: Mean duration of a request.
+        target_ms: Latency target of the route.
+        loss: Share of the datagrams between balancers and agents that is lost.
+
+    Attributes:
+        messages: Number of datagrams between balancers and agents, by class.
+        requests: SimulatedRequest by flow.
+        untrue_resets: SimulatedRequest objects whose open flow was reset while
+            its server held it.
+    """
+
+    def __init__(
+        self,
+        seed,
+        *,
+        balancers,
+        servers,
+        slots=1,
+        mean_work_ms=20.0,
+        target_ms=200,
+        loss=0.0,
+    ):
+        self.loss = loss
+        self.clock = flow_support.make_clock()
+        self.rng = random.Random(seed)
+        self.target_ms = target_ms
+        self.messages = collections.Counter()
+        self.requests = {}
+        self.untrue_resets = []
+        self._events = []
+        self._order = itertools.count()
+        self._flow_numbers = itertools.count(1)
+        self.balancers_by_ip = {}
+        self.nodes = [
+            SimulatedNode(self, number, slots, mean_work_ms)
+            for number in range(servers)
+        ]
+        self.nodes_by_ip = {node.ip: node for node in self.nodes}
+        self.balancers = [
+            SimulatedBalancer(self, number) for number in range(balancers)
+        ]
+        self.balancers_by_ip.update((b.ip, b) for b in self.balancers)
+        self._run_periodically(CHECK_INTERVAL_MS, self._check)
+        self._run_periodically(flow_view_sync.GREETING_INTERVAL_MS, self.greet)
+        self.greet()
+        self.run(10)
+
+    def after(self, delay_ms, action, *arguments):
+        time_ms = self.clock.monotonic_ms() + delay_ms
+        heapq.heappush(
+            self._events, (time_ms, next(self._order), action, arguments)
+        )
+
+    def run(self, duration_ms):
+        end_ms = self.clock.monotonic_ms() + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            time_ms, _, action, arguments = heapq.heappop(self._events)
+            self.clock.advance(time_ms - self.clock.monotonic_ms())
+            action(*arguments)
+        self.clock.advance(end_ms - self.clock.monotonic_ms())
+
+    def transmit(self, data, action, *arguments):
+        """Deliver a datagram between a balancer and an agent, or lose it."""
+        self.messages[type(flow_datagrams.decode(data)).__name__] += 1
+        if self.rng.random() >= self.loss:
+            self.after(ONE_WAY_DELAY_MS, action, data, *arguments)
+
+    def is_held(self, request):
+        """Whether a server holds the flow that the client has open."""
+        return any(
+            node.server.sequences.get(request.flow) == request.sequence
+            for node in self.nodes
+        )
+
+    def greet(self):
+        for balancer in self.balancers:
+            balancer.greet()
+
+    def _check(self):
+        for balancer in self.balancers:
+            balancer.check()
+        for node in self.nodes:
+            if node.path is not None:
+                node.path.check_server()
+
+    def _run_periodically(self, interval_ms, action):
+        def run():
+            action()
+            self.after(interval_ms, run)
+
+        self.after(interval_ms, run)
+
+    # Clients
+
+    def ask(self, request=None):
+        """Open a flow and send one request on it."""
+        flow = flow_support.make_flow(next(self._flow_numbers))
+        balancer = self.rng.choice(self.balancers)
+        if request is None:
+            request = SimulatedRequest(
+                self.clock.monotonic_ms(), balancer, flow
+            )
+        request.flow = flow
+        request.balancer = balancer
+        request.sequence = None
+        self.requests[flow] = request
+        for delay_ms in COPY_DELAYS_MS:
+            self.after(delay_ms, self._send_copy, request, flow, delay_ms)
+        self.after(OPEN_TIMEOUT_MS, self._give_up_opening, request, flow)
+        return request
+
+    def send_again(self, request):
+        """Send a further request on the open flow of an answered one."""
+        request.asked_ms = self.clock.monotonic_ms()
+        request.answered_ms = None
+        self._send_data(request, request.flow)
+
+    def send_to_client(self, data, _address):
+        self.after(CLIENT_DELAY_MS, self._on_client_datagram, data)
+
+    def _send_copy(self, request, flow, age_ms):
+        if request.flow is flow and request.sequence is None:
+            data = FORMAT.make(
+                flow, flags=flow_support.OPEN, acknowledged=age_ms
+            )
+            self._to_balancer(request, data)
+
+    def _send_data(self, request, flow):
+        data = FORMAT.make(
+            flow,
+            flags=flow_support.ACKNOWLEDGE,
+            acknowledged=request.sequence + 1,
+            sequence=int(request.asked_ms),
+            data=b'x' * 200,
+        )
+        for delay_ms in (0, *RETRANSMISSION_DELAYS_MS):
+            self.after(delay_ms, self._send_unanswered, request, flow, data)
+
+    def _send_unanswered(self, request, flow, data):
+        if request.flow is flow and not request.is_finished:
+            self._to_balancer(request, data)
+
+    def _to_balancer(self, request, data):
+        self.after(CLIENT_DELAY_MS, request.balancer.on_client_datagram, data)
+
+    def _on_client_datagram(self, data):
+        packet = FORMAT.read_from_server(data)
+        request = self.requests.get(packet.flow)
+        if request is None or request.flow != packet.flow:
+            return
+        now_ms = self.clock.monotonic_ms()
+        if packet.is_reset:
+            if request.sequence is not None and self.is_held(request):
+                self.untrue_resets.append(request)
+            if request.reset_ms is None:
+                request.reset_ms = now_ms
+            self._try_again(request)
+        elif packet.is_open_answer:
+            if request.sequence is None:
+                request.sequence = packet.sequence
+                self._send_data(request, request.flow)
+        elif packet.data_bytes and not request.is_finished:
+            request.answered_ms = now_ms
+
+    def _give_up_opening(self, request, flow):
+        if request.flow is flow and request.sequence is None:
+            self._try_again(request)
+
+    def _try_again(self, request):
+        if request.is_finished:
+            return
+        if request.attempts >= MAX_ATTEMPTS:
+            request.failed_ms = self.clock.monotonic_ms()
+            return
+        request.attempts += 1
+        self.ask(request)
