--- a/tests/balancer/test_flow_opener.py
+++ b/tests/balancer/test_flow_opener.py
@@ -67,6 +67,18 @@
     assert [to for _, to in balancer.sent()] == [ip]
 
 
+def test_a_flow_whose_client_continues_is_not_placed_again(balancer):
+    """The status of the agent is lost, but the client got the answer."""
+    _, ip = balancer.open(FLOW)
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    assert [to for _, to in balancer.sent()] == [ip]
+    balancer.clock.advance(flow_opener.OPENING_TIMEOUT_MS)
+    balancer.path.opener.check_openings()
+    assert not balancer.sent()
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    assert [to for _, to in balancer.sent()] == [ip]
+
+
 def test_openings_wait_while_the_queues_of_all_servers_are_full(balancer):
     for server in balancer.servers:
         balancer.report(server.ip, running=2)
