--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -1,5 +1,7 @@
 """Tests the client of the platform's store, including store failures."""
 
+import json
+
 import gevent
 import gevent.server
 import platform_standin
@@ -90,6 +92,63 @@
     assert source.read_all().revision == store.revision
 
 
+class SlowLink:
+    """Sends a response in pieces, and stops after a number of them."""
+
+    def __init__(self, body, pieces, pause_ms, sent_pieces=None):
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        self.response = head + body
+        self.size_bytes = -(-len(self.response) // pieces)
+        self.pieces = pieces if sent_pieces is None else sent_pieces
+        self.pause_ms = pause_ms
+        self.server = gevent.server.StreamServer(('127.0.0.1', 0), self.serve)
+        self.server.start()
+
+    def serve(self, sock, _remote):
+        sock.recv(4096)
+        for number in range(self.pieces):
+            start = number * self.size_bytes
+            sock.sendall(self.response[start : start + self.size_bytes])
+            gevent.sleep(self.pause_ms / 1000)
+        gevent.sleep(30)
+
+    def read(self):
+        source = store_source.make_store_source(
+            address.Address('127.0.0.1', self.server.server_port)
+        )
+        try:
+            return source.read_all()
+        finally:
+            source.close()
+            self.server.stop(timeout=0)
+
+
+LARGE_BODY = json.dumps(
+    {'items': [], 'current_rev': 7, 'ballast': 'x' * 400_000}
+).encode()
+
+
+def test_a_large_response_over_a_slow_link_is_read():
+    """A response may take longer than the limit on a pause within it."""
+    pause_ms = 100
+    pieces = 2 * store_source.CALL_TIMEOUT_MS // pause_ms
+    assert SlowLink(LARGE_BODY, pieces, pause_ms).read().revision == 7
+
+
+def test_a_response_that_stalls_times_out():
+    link = SlowLink(LARGE_BODY, 10, 1, sent_pieces=5)
+    limit = gevent.Timeout(2 * store_source.CALL_TIMEOUT_MS / 1000)
+    with limit, pytest.raises(fleet_source.SourceError):
+        link.read()
+
+
+def test_a_response_that_trickles_forever_times_out(monkeypatch):
+    monkeypatch.setattr(store_source, 'MAX_CALL_MS', 1_000)
+    link = SlowLink(LARGE_BODY, 400, 50)
+    with gevent.Timeout(3), pytest.raises(fleet_source.SourceError):
+        link.read()
+
+
 @pytest.mark.parametrize(
     'response',
     [
