--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -15,10 +15,10 @@
 
 LOG = logging.getLogger(__name__)
 
-# Interval of the checks while any opening packet waits for the server. An
-# opening packet is returned to its balancer after 60 ms without an answer.
+# Interval of the checks while an opening packet or a survey waits for an
+# answer, which is for 60 ms at most.
 SERVER_CHECK_INTERVAL_MS = 20
-# Interval of the checks while no opening packet waits.
+# Interval of the checks while nothing waits.
 IDLE_SERVER_CHECK_INTERVAL_MS = 500
 EXPIRY_INTERVAL_MS = 2_000
 # Duplicates of packets that are still in flight arrive within this time.
@@ -46,7 +46,7 @@
         self._settings = settings
         self._clock = clock
         self._tasks = []
-        self._opening_event = event.Event()
+        self._pending_event = event.Event()
         self._balancer_socket = datagram_socket.DatagramSocket(
             settings.agent_address, _ignore_unreachable
         )
@@ -63,7 +63,7 @@
             send_to_server=self._server_socket.send,
             send_to_client=self._balancer_socket.send,
             send_to_balancer=self._balancer_socket.send,
-            on_opening=self._opening_event.set,
+            on_pending=self._pending_event.set,
         )
         self._probes = probe_server.ProbeServer(
             settings.probe_address,
@@ -144,16 +144,16 @@
 
     def _run_checks(self):
         while True:
-            if not self.data_path.held_flows.has_pending_opening():
-                self._opening_event.clear()
-                self._opening_event.wait(IDLE_SERVER_CHECK_INTERVAL_MS / 1000)
+            if not self.data_path.has_pending:
+                self._pending_event.clear()
+                self._pending_event.wait(IDLE_SERVER_CHECK_INTERVAL_MS / 1000)
             gevent.sleep(SERVER_CHECK_INTERVAL_MS / 1000)
-            self.data_path.check_server()
+            self.data_path.check_pending()
 
     def _run_expiry(self):
         while True:
             gevent.sleep(EXPIRY_INTERVAL_MS / 1000)
-            self.data_path.held_flows.drop_expired(self._settings.max_flow_ms)
+            self.data_path.drop_expired()
 
     def _serve_readiness(self):
         if self.health.ready:
--- a/packages/agent/src/kingcupport/agent/flow_counters.py
+++ b/packages/agent/src/kingcupport/agent/flow_counters.py
@@ -19,6 +19,7 @@
     packets_malformed: int = 0
     datagrams_malformed: int = 0
     probes: int = 0
+    surveys: int = 0
     bounces: int = 0
     declines: int = 0
     flows_accepted: int = 0
--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -2,6 +2,7 @@
 
 from kingcupport.common import errors
 from kingcupport.flows import held_flows
+from kingcupport.flows import holder_survey
 from kingcupport.wire import flow_datagrams
 
 # Lifetime of a subscription, as a multiple of the greeting interval.
@@ -30,10 +31,12 @@
         send_to_server: ``send(data, address)`` on the server's socket.
         send_to_client: ``send(data, address)`` on any socket.
         send_to_balancer: ``send(data, address)`` on the agent's socket.
-        on_opening: Called when an opening packet waits for the server.
+        on_pending: Called when an opening packet waits for the server, or a
+            survey for answers.
 
     Attributes:
         held_flows: HeldFlows of the server.
+        surveys: HolderSurveys for balancers.
         is_leaving: Whether the agent is about to stop.
     """
 
@@ -49,7 +52,7 @@
         send_to_server,
         send_to_client,
         send_to_balancer,
-        on_opening,
+        on_pending,
     ):
         self._settings = settings
         self._clock = clock
@@ -59,12 +62,13 @@
         self._send_to_server = send_to_server
         self._send_to_client = send_to_client
         self._send_to_balancer = send_to_balancer
-        self._on_opening = on_opening
+        self._on_pending = on_pending
         self.held_flows = held_flows.make_held_flows(
             clock,
             settings.max_flow_ms,
             is_complete=settings.is_first_start,
         )
+        self.surveys = holder_survey.make_holder_surveys(clock)
         self._rng = rng
         self._boot = rng.getrandbits(32)
         self._sequence = 0
@@ -93,6 +97,10 @@
             self._send_status(datagram.flow, holding, source)
         elif isinstance(datagram, flow_datagrams.FlowProbe):
             self._on_probe(datagram.packet_data, source)
+        elif isinstance(datagram, flow_datagrams.FlowSearch):
+            self._on_search(datagram, source)
+        elif isinstance(datagram, flow_datagrams.FlowStatus):
+            self._on_status(source[0], datagram)
         elif isinstance(datagram, flow_datagrams.AgentGreeting):
             interval_ms = min(datagram.interval_ms, MAX_GREETING_INTERVAL_MS)
             self._subscribers[source] = (
@@ -120,8 +128,27 @@
             self._set_silent('port is closed')
             self._report_change()
 
-    def check_server(self):
-        """Return unanswered opening packets to their balancers."""
+    @property
+    def has_pending(self):
+        """Whether an opening packet or a survey waits for an answer."""
+        return self.held_flows.has_pending_opening() or bool(self.surveys)
+
+    def check_pending(self):
+        """End what has waited too long for an answer.
+
+        Unanswered opening packets return to their balancers, and surveys are
+        reported without the missing answers.
+        """
+        for balancer, result in self.surveys.pop_overdue():
+            self._send_to_balancer(flow_datagrams.encode(result), balancer)
+        self._check_server()
+
+    def drop_expired(self):
+        """Forget old flows and surveys; called periodically."""
+        self.held_flows.drop_expired(self._settings.max_flow_ms)
+        self.surveys.drop_expired()
+
+    def _check_server(self):
         now_ms = self._clock.monotonic_ms()
         for flow, held_flow in self.held_flows.timed_out_openings():
             if self._last_server_packet_ms < held_flow.opened_ms:
@@ -161,7 +188,7 @@
             envelope.packet_data, self._settings.server_address.as_tuple()
         )
         if packet.is_open:
-            self._on_opening()
+            self._on_pending()
             if held_flow.is_held:
                 # This balancer does not know that the server holds the flow:
                 # it missed the status, or another one sent the first copy.
@@ -184,6 +211,28 @@
         else:
             self._send_status(packet.flow, holding, source)
 
+    def _on_search(self, search, source):
+        packet = self._format.read_from_client(search.packet_data)
+        ips = {ip for ip in search.agent_ips if type(ip) is str}
+        if packet is None or packet.is_open or not ips:
+            self._counters.packets_malformed += 1
+            return
+        self._counters.surveys += 1
+        self.surveys.start(packet.flow, source, search.number, ips)
+        self._on_pending()
+        probe = flow_datagrams.encode(
+            flow_datagrams.FlowProbe(search.packet_data)
+        )
+        port = self._settings.agent_address.port
+        for ip in ips:
+            self._send_to_balancer(probe, (ip, port))
+
+    def _on_status(self, ip, status):
+        report = self.surveys.on_status(ip, status)
+        if report is not None:
+            balancer, result = report
+            self._send_to_balancer(flow_datagrams.encode(result), balancer)
+
     def _decline_reason(self, envelope, packet):
         if envelope.service not in ('', self._settings.service):
             return flow_datagrams.DeclineReason.OTHER_SERVICE
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -72,6 +72,7 @@
             packet_format,
             self._index,
             self.table,
+            self.loads,
             self._refusals,
             counters,
             decisions,
@@ -138,7 +139,8 @@
         """Handle a decoded datagram of an agent.
 
         Args:
-            datagram: LoadReport, FlowStatus or FlowDecline.
+            datagram: LoadReport, FlowStatus, FlowDecline or
+                FlowSearchResult.
             ip: Address of the agent.
         """
         if isinstance(datagram, flow_datagrams.LoadReport):
@@ -147,6 +149,8 @@
             self._on_status(ip, datagram)
         elif isinstance(datagram, flow_datagrams.FlowDecline):
             self._on_decline(ip, datagram)
+        elif isinstance(datagram, flow_datagrams.FlowSearchResult):
+            self.finder.on_result(ip, datagram)
 
     def on_unreachable(self, destination):
         """Handle an unreachable destination, such as a closed port.
@@ -195,11 +199,12 @@
     # Answers of agents
 
     def _on_status(self, ip, status):
+        if status.holding != flow_datagrams.Holding.YES:
+            return
         entry = self.table.get(status.flow)
-        is_held = status.holding == flow_datagrams.Holding.YES
-        if is_held and entry is not None and entry.ip == ip:
+        if entry is not None and entry.ip == ip:
             self._set_accepted(entry)
-        self.finder.on_status(ip, status)
+        self.finder.on_held(ip, status.flow)
 
     def _set_accepted(self, entry):
         entry.is_accepted = True
--- a/packages/balancer/src/kingcupport/balancer/holder_finder.py
+++ b/packages/balancer/src/kingcupport/balancer/holder_finder.py
@@ -1,11 +1,10 @@
 """Finds the server that holds a flow which is not in the table."""
 
+import xxhash
+
 from kingcupport.flows import holder_search
 from kingcupport.wire import flow_datagrams
 
-# An agent that could not tell about one flow has usually started after its
-# server; for this long it is sent the packets of further flows at once.
-UNDETERMINED_MS = 2_000
 # A server that the view has not listed for this long has left if its agent
 # does not answer either. Until then the entry may have lapsed by an outage.
 UNLISTED_MS = 3_000
@@ -17,16 +16,18 @@
 class HolderFinder:
     """Asks the agents for the holders of flows.
 
-    An agent that has started after its server cannot tell. It is sent the
-    packet as a probe: a server that does not hold the flow returns it. All
-    agents are asked at the same time and at most once for a flow, so that the
-    retransmissions of a lost flow cost nothing more.
+    One agent, chosen by a hash of the flow, probes all agents and reports the
+    result. An agent that has started after its server cannot tell which flows
+    it holds; it sends the packet to the server, which returns the packets of
+    unknown flows. An agent that has ruled out a flow is not asked again, so
+    that the retransmissions of a lost flow cost little.
 
     Args:
         clock: Clock.
         packet_format: FlowPacketFormat.
         index: ServerIndex.
         table: FlowTable to which found flows are added.
+        loads: ServerLoads, by which a live agent is chosen.
         refusals: FlowRefusals.
         counters: FlowCounters.
         decisions: DecisionLog.
@@ -39,6 +40,7 @@
         packet_format,
         index,
         table,
+        loads,
         refusals,
         counters,
         decisions,
@@ -48,12 +50,12 @@
         self._format = packet_format
         self._index = index
         self._table = table
+        self._loads = loads
         self._refusals = refusals
         self._counters = counters
         self._decisions = decisions
         self._send_to = send_to
         self._searches = holder_search.make_holder_searches(clock)
-        self._undetermined_until_ms = {}
         # Since when the agents have not answered.
         self._unanswered_since_ms = {}
 
@@ -78,34 +80,51 @@
         if not ips:
             self._finish_without_holder(search)
             return
-        if not self._searches.start(search, ips):
+        surveyor_ip = self._choose_surveyor(search)
+        if not self._searches.start(search, ips, surveyor_ip):
             return
         self._counters.searches += 1
-        query = flow_datagrams.FlowQuery(packet.flow, packet.acknowledged)
-        probe = flow_datagrams.FlowProbe(data)
-        now_ms = self._clock.monotonic_ms()
-        for ip in ips:
-            is_undetermined = self._undetermined_until_ms.get(ip, 0) > now_ms
-            self._send_to(ip, probe if is_undetermined else query)
+        self._send_to(
+            surveyor_ip,
+            flow_datagrams.FlowSearch(search.number, sorted(ips), data),
+        )
 
-    def on_status(self, ip, status):
-        """Handle the answer of an agent.
+    def on_result(self, ip, result):
+        """Handle the result of a search.
 
         Args:
-            ip: Address of the agent.
-            status: FlowStatus.
+            ip: Address of the agent that has asked the others.
+            result: FlowSearchResult.
         """
         self._unanswered_since_ms.pop(ip, None)
-        if status.holding == flow_datagrams.Holding.UNKNOWN:
-            self._probe(ip, status.flow)
+        if result.holder_ip:
+            self.on_held(result.holder_ip, result.flow)
+            return
+        search = self._searches.get(result.flow)
+        if search is None or not search.is_running:
             return
-        search = self._searches.on_answer(ip, status)
-        if search is None:
+        if result.number != search.number:
+            # The result of an earlier round says nothing about agents that
+            # are asked for the first time.
             return
-        if status.holding == flow_datagrams.Holding.YES:
+        unanswered = search.unanswered.intersection(
+            ip for ip in result.unanswered_ips if type(ip) is str
+        )
+        for answered_ip in search.unanswered - unanswered:
+            self._unanswered_since_ms.pop(answered_ip, None)
+        search.ruled_out |= search.unanswered - unanswered
+        self._stop(search, unanswered)
+
+    def on_held(self, ip, flow):
+        """Record that the server of an agent holds a flow.
+
+        Args:
+            ip: Address of the agent.
+            flow: Bytes that identify the flow.
+        """
+        search = self._searches.get(flow)
+        if search is not None:
             self._finish_found(search, ip)
-        else:
-            self._finish_without_holder(search)
 
     def on_not_held(self, ip, flow):
         """Record that a server returned a packet of a flow it does not hold.
@@ -120,8 +139,7 @@
         search = self._searches.get(flow)
         if search is None or not search.is_running:
             return False
-        not_held = int(flow_datagrams.Holding.NO)
-        self.on_status(ip, flow_datagrams.FlowStatus(flow, not_held))
+        search.ruled_out |= {ip}
         return True
 
     def end(self, flow):
@@ -129,22 +147,14 @@
         self._searches.end(flow)
 
     def check_searches(self):
-        """End the searches that have timed out without all answers."""
-        now_ms = self._clock.monotonic_ms()
+        """End the searches that got no result in time."""
         for search in self._searches.overdue():
-            for ip in self._searches.stop(search):
-                self._unanswered_since_ms.setdefault(ip, now_ms)
-            self._finish_without_holder(search)
+            search.silent_surveyors |= {search.surveyor_ip}
+            self._stop(search, ())
 
     def drop_expired(self):
         """Forget old answers; called periodically."""
         self._searches.drop_expired()
-        now_ms = self._clock.monotonic_ms()
-        self._undetermined_until_ms = {
-            ip: until_ms
-            for ip, until_ms in self._undetermined_until_ms.items()
-            if until_ms > now_ms
-        }
         known_ips = self._index.known_ips()
         self._unanswered_since_ms = {
             ip: since_ms
@@ -152,15 +162,20 @@
             if ip in known_ips
         }
 
-    def _probe(self, ip, flow):
-        self._undetermined_until_ms[ip] = (
-            self._clock.monotonic_ms() + UNDETERMINED_MS
+    def _choose_surveyor(self, search):
+        ips = self._index.by_ip.keys() - search.silent_surveyors
+        usable = [ip for ip in ips if self._loads.is_reachable(ip)]
+        return max(
+            usable or ips or self._index.known_ips(),
+            key=lambda ip: xxhash.xxh3_64_intdigest(ip.encode() + search.flow),
         )
-        search = self._searches.get(flow)
-        if search is None or ip not in search.unanswered:
-            return
-        _, data = search.packets[0]
-        self._send_to(ip, flow_datagrams.FlowProbe(data))
+
+    def _stop(self, search, unanswered):
+        now_ms = self._clock.monotonic_ms()
+        for ip in unanswered:
+            self._unanswered_since_ms.setdefault(ip, now_ms)
+        self._searches.stop(search)
+        self._finish_without_holder(search)
 
     def _finish_without_holder(self, search):
         packet, _ = search.packets[0]
--- a/packages/flows/src/kingcupport/flows/holder_search.py
+++ b/packages/flows/src/kingcupport/flows/holder_search.py
@@ -1,17 +1,14 @@
 """State of the searches for the server that holds an unknown flow."""
 
 import collections
+import itertools
 
 import attrs
 
-from kingcupport.wire import flow_datagrams
-
-# A query and its answer take at most 2 ms between data centres; an agent that
-# has only a fraction of a core may answer later.
-SEARCH_TIMEOUT_MS = 60
-# Searches that wait for answers; each has one datagram to every agent in
-# flight. A client sends the packet of a search that was not started again
-# after 200 ms.
+# The agent that asks the others waits for them for 60 ms.
+SEARCH_TIMEOUT_MS = 120
+# Searches that wait for a result. A client sends the packet of a search that
+# was not started again after 200 ms.
 MAX_RUNNING_SEARCHES = 256
 # Answers are remembered for this long after the last packet of the flow,
 # because its client retransmits at intervals of up to 1,600 ms.
@@ -37,7 +34,11 @@
         packets: ``(FlowPacket, bytes)`` pairs that wait for the result.
         unanswered: Addresses of the agents that have not answered.
         ruled_out: Addresses of the agents whose servers do not hold the flow.
-        deadline_ms: When it stops waiting for answers, on the monotonic
+        number: Number of the latest round of questions.
+        surveyor_ip: Address of the agent that asks the others.
+        silent_surveyors: Addresses of the agents that were told to ask the
+            others and have reported no result.
+        deadline_ms: When it stops waiting for the result, on the monotonic
             clock.
     """
 
@@ -47,6 +48,9 @@
     packets: list = attrs.field(factory=list)
     unanswered: set = attrs.field(factory=set)
     ruled_out: frozenset = frozenset()
+    number: int = 0
+    surveyor_ip: str = ''
+    silent_surveyors: frozenset = frozenset()
     deadline_ms: float = 0.0
 
     @property
@@ -56,7 +60,7 @@
 
 
 class HolderSearches:
-    """The searches of one balancer and the answers that they got.
+    """The searches of one balancer and what they have found out.
 
     An agent that has ruled out a flow is not asked again: a flow never moves
     to another server.
@@ -72,6 +76,7 @@
         self._clock = clock
         self._searches = collections.OrderedDict()
         self._running = {}
+        self._numbers = itertools.count(1)
         self.refused_count = 0
 
     def __len__(self):
@@ -105,12 +110,13 @@
             self.end(next(iter(self._searches)))
         return search
 
-    def start(self, search, ips):
+    def start(self, search, ips, surveyor_ip):
         """Wait for the answers of agents.
 
         Args:
             search: HolderSearch that is not running.
             ips: Addresses of the agents that are asked; at least one.
+            surveyor_ip: Address of the agent that asks them.
 
         Returns:
             Whether it was started; else too many are running.
@@ -120,35 +126,12 @@
             search.packets.clear()
             return False
         search.unanswered = set(ips)
+        search.number = next(self._numbers)
+        search.surveyor_ip = surveyor_ip
         search.deadline_ms = self._clock.monotonic_ms() + SEARCH_TIMEOUT_MS
         self._running[search.flow] = search
         return True
 
-    def on_answer(self, ip, status):
-        """Record the answer of an agent that could tell.
-
-        Args:
-            ip: Address of the agent.
-            status: wire.flow_datagrams.FlowStatus with YES or NO.
-
-        Returns:
-            The HolderSearch if the holder was found or if no answer is
-            outstanding, else None.
-        """
-        search = self._searches.get(status.flow)
-        if search is None:
-            return None
-        if status.holding == flow_datagrams.Holding.YES:
-            return search
-        search.ruled_out |= {ip}
-        if ip not in search.unanswered:
-            return None
-        search.unanswered.discard(ip)
-        if search.unanswered:
-            return None
-        self.stop(search)
-        return search
-
     def end(self, flow):
         """Forget the search for a flow, if there is one."""
         self._searches.pop(flow, None)
@@ -168,13 +151,9 @@
 
         Args:
             search: HolderSearch that is running.
-
-        Returns:
-            The addresses of the agents that have not answered.
         """
-        unanswered, search.unanswered = search.unanswered, set()
+        search.unanswered = set()
         self._running.pop(search.flow, None)
-        return unanswered
 
     def drop_expired(self):
         """Forget the searches whose flows have had no packet for a while."""
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -200,6 +200,41 @@
     packet_data: bytes = b''
 
 
+@_register_datagram(9)
+@attrs.define
+class FlowSearch:
+    """Asks an agent to find out which agent's server holds a flow.
+
+    Args:
+        number: Number of the search at the sender.
+        agent_ips: Addresses of the agents to probe.
+        packet_data: Bytes of a packet of the flow.
+    """
+
+    number: int
+    agent_ips: list
+    packet_data: bytes = b''
+
+
+@_register_datagram(10)
+@attrs.define
+class FlowSearchResult:
+    """Answers a FlowSearch.
+
+    Args:
+        flow: The flow.
+        number: Number of the search at the receiver.
+        holder_ip: Address of the agent whose server holds the flow; empty if
+            none of those that have answered does.
+        unanswered_ips: Addresses of the agents that have not answered.
+    """
+
+    flow: bytes
+    number: int
+    holder_ip: str
+    unanswered_ips: list
+
+
 def _header_fields(datagram_class):
     return [
         field
--- a/tests/agent/test_flow_data_path.py
+++ b/tests/agent/test_flow_data_path.py
@@ -23,7 +23,7 @@
 class Agent:
     """A FlowDataPath that records the datagrams it sends."""
 
-    def __init__(self):
+    def __init__(self, *, is_first_start=True):
         self.clock = flow_support.make_clock()
         self.to_server = []
         self.to_clients = []
@@ -31,7 +31,7 @@
         own = address.Address('10.0.0.1', 8172)
         self.path = flow_data_path.FlowDataPath(
             flow_settings.FlowAgentSettings(
-                'a0', 'gate', own, own, SERVER, own, '/ready', True
+                'a0', 'gate', own, own, SERVER, own, '/', is_first_start
             ),
             self.clock,
             random.Random(1),
@@ -41,7 +41,7 @@
             send_to_server=lambda data, to: self.to_server.append(data),
             send_to_client=lambda data, to: self.to_clients.append((data, to)),
             send_to_balancer=self._send_to_balancer,
-            on_opening=lambda: None,
+            on_pending=lambda: None,
         )
 
     def _send_to_balancer(self, data, destination):
@@ -122,6 +122,61 @@
     assert agent.to_clients == [(data, FORMAT.client_address(FLOW))]
 
 
+def send_to_agent(agent, datagram, source=BALANCER):
+    agent.path.on_balancer_datagram(flow_datagrams.encode(datagram), source)
+
+
+def test_a_search_probes_all_agents_and_reports_one_result(agent):
+    data = FORMAT.make(FLOW, acknowledged=9, data=b'x')
+    ips = ['10.0.0.1', '10.0.0.2']
+    send_to_agent(agent, flow_datagrams.FlowSearch(3, ips, data))
+    probes = [(d.packet_data, to) for d, to in agent.to_balancers]
+    assert sorted(probes) == [(data, (ip, 8172)) for ip in ips]
+    agent.to_balancers.clear()
+    status = flow_datagrams.FlowStatus(FLOW, int(flow_datagrams.Holding.NO))
+    for ip in ips:
+        send_to_agent(agent, status, source=(ip, 8172))
+    ((result, to),) = agent.to_balancers
+    assert to == BALANCER
+    assert result == flow_datagrams.FlowSearchResult(FLOW, 3, '', [])
+
+
+def test_a_search_without_all_answers_ends(agent):
+    data = FORMAT.make(FLOW, acknowledged=9, data=b'x')
+    search = flow_datagrams.FlowSearch(3, ['10.0.0.2'], data)
+    send_to_agent(agent, search)
+    assert agent.path.has_pending
+    agent.clock.advance(100)
+    agent.path.check_pending()
+    (result,) = agent.sent(flow_datagrams.FlowSearchResult)
+    assert result.unanswered_ips == ['10.0.0.2']
+    assert not agent.path.has_pending
+
+
+def test_a_probe_of_an_unknown_flow_is_answered_by_the_server():
+    agent = Agent(is_first_start=False)
+    data = FORMAT.make(FLOW, acknowledged=9, data=b'x')
+    send_to_agent(agent, flow_datagrams.FlowProbe(data))
+    assert agent.to_server == [data]
+    assert agent.path.held_flows.running == 0
+    agent.server(FORMAT.bounce(data))
+    (status,) = agent.sent(flow_datagrams.FlowStatus)
+    assert status.holding == flow_datagrams.Holding.NO
+    send_to_agent(agent, flow_datagrams.FlowProbe(data))
+    assert agent.path.held_flows.running == 0
+    agent.server(FORMAT.make(FLOW, from_client=False, data=b'200'))
+    (status,) = agent.sent(flow_datagrams.FlowStatus)
+    assert status.holding == flow_datagrams.Holding.YES
+
+
+def test_a_probe_is_answered_at_once_by_an_agent_that_knows(agent):
+    data = FORMAT.make(FLOW, acknowledged=9, data=b'x')
+    send_to_agent(agent, flow_datagrams.FlowProbe(data))
+    assert not agent.to_server
+    (status,) = agent.sent(flow_datagrams.FlowStatus)
+    assert status.holding == flow_datagrams.Holding.NO
+
+
 def test_packets_of_another_service_are_given_back(agent):
     data = FORMAT.make(FLOW, flags=flow_support.OPEN)
     agent.deliver(data, service='audio')
@@ -145,14 +200,14 @@
     data = FORMAT.make(FLOW, flags=flow_support.OPEN)
     agent.deliver(data)
     agent.clock.advance(100)
-    agent.path.check_server()
+    agent.path.check_pending()
     (decline,) = agent.sent(flow_datagrams.FlowDecline)
     assert decline.packet_data == data
     other = FORMAT.make(flow_support.make_flow(2), flags=flow_support.OPEN)
     agent.deliver(other)
     assert len(agent.to_server) == 1
     agent.clock.advance(flow_data_path.SILENT_SERVER_RETRY_MS)
-    agent.path.check_server()
+    agent.path.check_pending()
     agent.deliver(other)
     assert len(agent.to_server) == 2
 
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -8,6 +8,7 @@
 
 from kingcupport.balancer import flow_refusals
 from kingcupport.balancer import holder_finder
+from kingcupport.flows import holder_search
 from kingcupport.wire import flow_datagrams
 
 FORMAT = flow_support.FORMAT
@@ -52,11 +53,11 @@
 
 def test_an_unknown_flow_is_found_and_its_packets_follow(balancer):
     first = balancer.client(FLOW, acknowledged=5, data=b'x')
-    asked = balancer.sent(flow_datagrams.FlowQuery)
-    assert {ip for _, ip in asked} == {'10.0.0.0', '10.0.0.1'}
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert set(search.agent_ips) == {'10.0.0.0', '10.0.0.1'}
+    assert search.packet_data == first
     second = balancer.client(FLOW, acknowledged=5, data=b'y')
-    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.NO)
-    balancer.status('10.0.0.1', FLOW, flow_datagrams.Holding.YES)
+    balancer.result(search, holder_ip='10.0.0.1')
     sent = balancer.sent()
     assert [e.packet_data for e, _ in sent] == [first, second]
     assert {ip for _, ip in sent} == {'10.0.0.1'}
@@ -64,101 +65,101 @@
 
 def test_a_flow_that_no_server_holds_is_reset(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    for ip in ('10.0.0.0', '10.0.0.1'):
-        balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
+    balancer.end_search()
     (reset,) = balancer.resets()
     assert reset.sequence == 5
 
 
-@pytest.mark.parametrize('answers', [0, 1])
-def test_a_flow_is_not_reset_while_an_agent_is_silent(balancer, answers):
-    balancer.client(FLOW, acknowledged=5, data=b'x')
-    for number in range(answers):
-        balancer.status(f'10.0.0.{number}', FLOW, flow_datagrams.Holding.NO)
-    balancer.clock.advance(1_000)
-    balancer.path.finder.check_searches()
+def test_a_flow_is_not_reset_while_an_agent_is_silent(balancer):
+    for _ in range(3):
+        balancer.client(FLOW, acknowledged=5, data=b'x')
+        balancer.end_search(unanswered=['10.0.0.1'])
+    assert not balancer.resets()
+
+
+def test_a_flow_is_not_reset_without_a_result(balancer):
+    for _ in range(3):
+        balancer.client(FLOW, acknowledged=5, data=b'x')
+        balancer.clock.advance(holder_search.SEARCH_TIMEOUT_MS)
+        balancer.path.finder.check_searches()
     assert not balancer.resets()
 
 
 def test_a_flow_is_not_reset_with_an_old_view(balancer):
     balancer.clock.advance(flow_refusals.MAX_FRESH_VIEW_AGE_MS + 1)
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    for ip in ('10.0.0.0', '10.0.0.1'):
-        balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
+    balancer.end_search()
     assert not balancer.resets()
 
 
-def test_undetermined_agents_are_probed_with_the_packet_at_once(balancer):
-    data = balancer.client(FLOW, acknowledged=5, data=b'x')
-    balancer.sent()
-    for ip in ('10.0.0.0', '10.0.0.1'):
-        balancer.status(ip, FLOW, flow_datagrams.Holding.UNKNOWN)
-    probes = balancer.sent(flow_datagrams.FlowProbe)
-    assert {ip for _, ip in probes} == {'10.0.0.0', '10.0.0.1'}
-    assert [probe.packet_data for probe, _ in probes] == [data, data]
-    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.NO)
-    assert not balancer.resets()
-    balancer.status('10.0.0.1', FLOW, flow_datagrams.Holding.NO)
+def test_only_the_silent_agents_are_asked_again(balancer):
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.end_search(unanswered=['10.0.0.1'])
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert search.agent_ips == ['10.0.0.1']
+    balancer.result(search)
     assert len(balancer.resets()) == 1
 
 
-def test_an_undetermined_agent_is_probed_at_once_for_the_next_flow(balancer):
+def test_another_agent_searches_when_the_first_is_silent(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.UNKNOWN)
-    balancer.to_agents.clear()
-    other = balancer.client(
-        flow_support.make_flow(2), acknowledged=5, data=b'y'
-    )
-    ((probe, ip),) = [
-        (d, ip)
-        for d, ip in balancer.to_agents
-        if isinstance(d, flow_datagrams.FlowProbe)
-    ]
-    assert (probe.packet_data, ip) == (other, '10.0.0.0')
-    ((_, queried_ip),) = balancer.sent(flow_datagrams.FlowQuery)
-    assert queried_ip == '10.0.0.1'
+    ((_, first),) = balancer.sent(flow_datagrams.FlowSearch)
+    balancer.clock.advance(holder_search.SEARCH_TIMEOUT_MS)
+    balancer.path.finder.check_searches()
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    ((_, second),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert second != first
 
 
 def test_a_retransmission_of_a_lost_flow_is_reset_without_a_search(balancer):
-    for _ in range(3):
-        balancer.client(FLOW, acknowledged=5, data=b'x')
-        for ip in ('10.0.0.0', '10.0.0.1'):
-            balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.end_search()
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.client(FLOW, acknowledged=5, data=b'x')
     assert len(balancer.resets()) == 3
-    assert len(balancer.sent(flow_datagrams.FlowQuery)) == 2
+    assert not balancer.sent(flow_datagrams.FlowSearch)
 
 
 def test_a_later_flow_of_the_same_client_port_is_searched_again(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    for ip in ('10.0.0.0', '10.0.0.1'):
-        balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
+    balancer.end_search()
     assert len(balancer.resets()) == 1
-    balancer.sent()
     balancer.client(FLOW, acknowledged=1 << 30, data=b'x')
     assert not balancer.resets()
-    assert len(balancer.sent(flow_datagrams.FlowQuery)) == 2
+    assert len(balancer.sent(flow_datagrams.FlowSearch)) == 1
 
 
 def test_a_server_that_appears_later_is_asked_before_a_reset(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    for ip in ('10.0.0.0', '10.0.0.1'):
-        balancer.status(ip, FLOW, flow_datagrams.Holding.NO)
+    balancer.end_search()
     balancer.resets()
-    balancer.sent()
     balancer.servers.append(flow_support.make_server(2, revision=30))
     balancer.read()
     balancer.client(FLOW, acknowledged=5, data=b'x')
     assert not balancer.resets()
-    asked = balancer.sent(flow_datagrams.FlowQuery)
-    assert [ip for _, ip in asked] == ['10.0.0.2']
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert search.agent_ips == ['10.0.0.2']
 
 
-def test_a_late_answer_of_the_holder_is_used(balancer):
+def test_the_result_of_an_earlier_round_rules_out_no_later_server(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
-    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.NO)
+    ((early, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    balancer.clock.advance(holder_search.SEARCH_TIMEOUT_MS)
+    balancer.path.finder.check_searches()
+    balancer.servers.append(flow_support.make_server(2, revision=30))
+    balancer.read()
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.result(early)
+    assert not balancer.resets()
+
+
+def test_a_late_result_that_names_the_holder_is_used(balancer):
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
     balancer.clock.advance(1_000)
     balancer.path.finder.check_searches()
-    balancer.status('10.0.0.1', FLOW, flow_datagrams.Holding.YES)
+    balancer.result(search, holder_ip='10.0.0.1')
     balancer.sent()
     balancer.client(FLOW, acknowledged=5, data=b'x')
     assert [ip for _, ip in balancer.sent()] == ['10.0.0.1']
@@ -177,11 +178,10 @@
         self.balancer.clock.advance(duration_ms)
         self.balancer.read()
 
-    def search(self, flow):
+    def search(self, flow, *, is_silent=True):
         self.balancer.client(flow, acknowledged=5, data=b'x')
-        self.balancer.status('10.0.0.0', flow, flow_datagrams.Holding.NO)
-        self.advance(500)
-        self.balancer.path.finder.check_searches()
+        self.balancer.end_search(unanswered=['10.0.0.1'] * is_silent)
+        self.advance(holder_finder.UNANSWERED_MS)
         return len(self.balancer.resets())
 
 
@@ -202,9 +202,7 @@
 def test_an_unlisted_server_whose_agent_answers_may_hold_flows():
     leaver = SilentLeaver(unlisted_ms=holder_finder.UNLISTED_MS)
     assert leaver.search(FLOW) == 0
-    leaver.balancer.status(
-        '10.0.0.1', flow_support.make_flow(9), flow_datagrams.Holding.NO
-    )
+    assert leaver.search(flow_support.make_flow(9), is_silent=False) == 1
     assert leaver.search(flow_support.make_flow(2)) == 0
 
 
@@ -224,8 +222,9 @@
     balancer.sent()
     balancer.decline(ip, data, flow_datagrams.DeclineReason.NOT_HELD)
     assert not balancer.resets()
-    ((_, asked),) = balancer.sent(flow_datagrams.FlowQuery)
-    assert asked != ip
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert search.agent_ips
+    assert ip not in search.agent_ips
 
 
 def test_a_flow_of_a_server_whose_address_was_reused_is_reset(balancer):
@@ -295,6 +294,13 @@
         strategies.binary(max_size=20),
         strategies.integers(-1, 9),
     )
+    | strategies.builds(
+        flow_datagrams.FlowSearchResult,
+        strategies.just(FLOW) | strategies.binary(max_size=20),
+        strategies.integers(),
+        strategies.text(max_size=5),
+        strategies.lists(strategies.none() | strategies.text(max_size=5)),
+    )
     | strategies.builds(
         flow_datagrams.LoadReport,
         *[strategies.integers()] * 2,
@@ -305,6 +311,8 @@
 )
 def test_any_agent_datagram_leaves_the_balancer_working(datagram):
     balancer = balancer_harness.BalancerHarness()
+    balancer.client(FLOW, acknowledged=5, data=b'x')
     balancer.path.on_agent_datagram(datagram, '10.0.0.1')
+    balancer.client(FLOW, acknowledged=5, data=b'x')
     balancer.client(FLOW, flow_support.OPEN)
     assert balancer.sent() or datagram.datagram_code == 5
--- a/tests/balancer/test_flow_opener.py
+++ b/tests/balancer/test_flow_opener.py
@@ -148,8 +148,8 @@
         balancer.report(server.ip, running=2)
     balancer.client(FLOW, flow_support.OPEN)
     other = balancer.client(FLOW, acknowledged=5, data=b'x')
-    balancer.status('10.0.0.0', FLOW, flow_datagrams.Holding.NO)
-    balancer.status('10.0.0.1', FLOW, flow_datagrams.Holding.YES)
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    balancer.result(search, holder_ip='10.0.0.1')
     assert [e.packet_data for e, _ in balancer.sent()] == [other]
     balancer.report('10.0.0.0', running=0)
     balancer.clock.advance(opening_queue.MAX_WAIT_MS)
--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -5,9 +5,13 @@
 from hypothesis import strategies
 import pytest
 
-# A lost flow costs a query or probe and an answer for each agent, and twice
-# that where an agent cannot tell.
-MAX_DATAGRAMS_PER_AGENT = 4
+# A lost flow costs a probe and an answer for each agent, and a search and its
+# result at the balancer.
+MAX_DATAGRAMS_PER_AGENT = 2
+MAX_DATAGRAMS_PER_SEARCH = 2
+# A link of 5 Mbit/s carries the searches for 60 flows in a second, besides
+# the packets of its clients.
+MAX_BALANCER_BYTES_PER_FLOW = 2_000
 # Datagrams of a flow that a client opens instead, with all copies.
 MAX_DATAGRAMS_PER_OPENING = 20
 MAX_NOTICE_MS = 500
@@ -52,7 +56,11 @@
         for name, count in fleet.messages.items()
         if name not in ('AgentGreeting', 'LoadReport')
     )
-    per_flow = MAX_DATAGRAMS_PER_AGENT * len(fleet.nodes) + extra_per_flow
+    per_flow = (
+        MAX_DATAGRAMS_PER_AGENT * len(fleet.nodes)
+        + MAX_DATAGRAMS_PER_SEARCH
+        + extra_per_flow
+    )
     placed = sum(b.counters.flows_placed for b in fleet.balancers)
     assert count <= (
         per_flow * len(requests) + MAX_DATAGRAMS_PER_OPENING * placed
@@ -66,9 +74,12 @@
     restart(fleet, servers=True)
     fleet.messages.clear()
     restarted_ms = fleet.clock.monotonic_ms()
+    sent_before = sum(b.sent_bytes for b in fleet.balancers)
     for request in requests:
         fleet.send_again(request)
     fleet.run(400)
+    sent_bytes = sum(b.sent_bytes for b in fleet.balancers) - sent_before
+    assert sent_bytes <= MAX_BALANCER_BYTES_PER_FLOW * len(requests)
     late = [
         request
         for request in requests
@@ -118,9 +129,10 @@
         fleet.send_again(request)
     fleet.run(2_000)
     assert not any(request.reset_ms for request in requests)
-    # One round over all agents, then one query for each retransmission.
+    # One round over all agents, then for each retransmission a search, its
+    # result and a probe of the silent agent.
     retransmissions = len(flow_fleet_simulation.RETRANSMISSION_DELAYS_MS)
-    check_datagrams(fleet, requests, extra_per_flow=retransmissions)
+    check_datagrams(fleet, requests, extra_per_flow=3 * retransmissions)
     fleet.nodes[0].start_agent()
     fleet.greet()
     fleet.run(2_000)
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -78,6 +78,20 @@
             flow_datagrams.FlowStatus(flow, int(holding)), ip
         )
 
+    def result(self, search, *, holder_ip='', unanswered=()):
+        flow = FORMAT.read_from_client(search.packet_data).flow
+        self.path.on_agent_datagram(
+            flow_datagrams.FlowSearchResult(
+                flow, search.number, holder_ip, list(unanswered)
+            ),
+            '10.0.0.0',
+        )
+
+    def end_search(self, unanswered=()):
+        """End the latest search, without a holder."""
+        *_, (search, _) = self.sent(flow_datagrams.FlowSearch)
+        self.result(search, unanswered=unanswered)
+
     def decline(self, ip, data, reason):
         self.path.on_agent_datagram(
             flow_datagrams.FlowDecline(int(reason), data), ip
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -34,7 +34,7 @@
 ONE_WAY_DELAY_MS = 0.6
 LOCAL_DELAY_MS = 0.1
 CLIENT_DELAY_MS = 3.0
-CHECK_INTERVAL_MS = 40
+CHECK_INTERVAL_MS = 20
 # Times after the first copy at which a client sends its opening packet, and
 # the time at which it gives up.
 COPY_DELAYS_MS = (0, 200, 600)
@@ -141,7 +141,7 @@
             ),
             send_to_client=fleet.send_to_client,
             send_to_balancer=self._send_to_balancer,
-            on_opening=lambda: None,
+            on_pending=lambda: None,
         )
 
     def stop_agent(self):
@@ -159,8 +159,15 @@
         self.server.receive(data)
 
     def _send_to_balancer(self, data, destination):
-        balancer = self._fleet.balancers_by_ip[destination[0]]
-        self._fleet.transmit(data, balancer.on_agent_datagram, self.ip)
+        ip, port = destination
+        if port == AGENT_PORT:
+            node = self._fleet.nodes_by_ip[ip]
+            self._fleet.transmit(
+                data, node.on_balancer_datagram, (self.ip, AGENT_PORT)
+            )
+        else:
+            balancer = self._fleet.balancers_by_ip[ip]
+            self._fleet.transmit(data, balancer.on_agent_datagram, self.ip)
 
 
 class SimulatedBalancer:
@@ -171,6 +178,7 @@
         self.ip = f'10.1.0.{number + 1}'
         self.path = None
         self.counters = None
+        self.sent_bytes = 0
         self.start()
 
     def start(self):
@@ -243,6 +251,7 @@
             self.path.on_agent_datagram(flow_datagrams.decode(data), ip)
 
     def _send_to_agent(self, data, destination):
+        self.sent_bytes += len(data)
         node = self._fleet.nodes_by_ip[destination[0]]
         self._fleet.transmit(
             data, node.on_balancer_datagram, (self.ip, PEER_PORT)
@@ -370,7 +379,7 @@
             balancer.check()
         for node in self.nodes:
             if node.path is not None:
-                node.path.check_server()
+                node.path.check_pending()
 
     def _run_periodically(self, interval_ms, action):
         def run():
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -4,7 +4,6 @@
 import pytest
 
 from kingcupport.flows import holder_search
-from kingcupport.wire import flow_datagrams
 
 FLOW = flow_support.make_flow(1)
 
@@ -28,52 +27,41 @@
 
 def start(searches, ips=('a', 'b'), **fields):
     search = searches.add_packet(*make_packet(**fields))
-    assert searches.start(search, ips)
+    assert searches.start(search, ips, 'c')
     return search
 
 
-def answer(searches, ip, holding):
-    return searches.on_answer(
-        ip, flow_datagrams.FlowStatus(FLOW, int(holding))
-    )
-
-
-def test_the_holder_is_reported_before_all_have_answered(searches):
-    search = start(searches)
-    assert answer(searches, 'a', flow_datagrams.Holding.YES) is search
-
-
-def test_a_search_ends_with_the_last_answer(searches):
+def test_a_search_without_a_result_times_out(searches, clock):
     search = start(searches)
-    assert answer(searches, 'a', flow_datagrams.Holding.NO) is None
     assert len(searches) == 1
-    assert answer(searches, 'b', flow_datagrams.Holding.NO) is search
-    assert search.ruled_out == {'a', 'b'}
-    assert len(searches) == 0
-
-
-def test_a_search_without_answers_times_out(searches, clock):
-    search = start(searches)
     assert searches.overdue() == []
     clock.advance(holder_search.SEARCH_TIMEOUT_MS)
     assert searches.overdue() == [search]
-    assert searches.stop(search) == {'a', 'b'}
+    searches.stop(search)
     assert searches.overdue() == []
+    assert len(searches) == 0
 
 
-def test_answers_are_remembered_for_the_packets_of_the_flow(searches, clock):
+def test_results_are_remembered_for_the_packets_of_the_flow(searches, clock):
     search = start(searches)
-    answer(searches, 'a', flow_datagrams.Holding.NO)
+    search.ruled_out |= {'a'}
     searches.stop(search)
-    answer(searches, 'b', flow_datagrams.Holding.NO)
     clock.advance(holder_search.RETENTION_MS - 1)
     searches.drop_expired()
-    assert searches.add_packet(*make_packet()).ruled_out == {'a', 'b'}
+    assert searches.add_packet(*make_packet()).ruled_out == {'a'}
     clock.advance(holder_search.RETENTION_MS)
     searches.drop_expired()
     assert searches.get(FLOW) is None
 
 
+def test_each_round_has_a_number_of_its_own(searches):
+    search = start(searches)
+    first = search.number
+    searches.stop(search)
+    assert searches.start(search, {'b'}, 'c')
+    assert search.number != first
+
+
 def test_a_later_flow_with_the_same_ports_begins_anew(searches):
     search = start(searches)
     later = searches.add_packet(*make_packet(acknowledged=1 << 31))
@@ -89,7 +77,7 @@
     assert len(search.packets) == holder_search.MAX_PACKETS_PER_SEARCH
     for number in range(2, holder_search.MAX_RUNNING_SEARCHES + 10):
         later = searches.add_packet(*make_packet(number))
-        searches.start(later, {'a'})
+        searches.start(later, {'a'}, 'c')
     assert len(searches) == holder_search.MAX_RUNNING_SEARCHES
     assert searches.refused_count > 0
     assert not later.packets
