--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -89,6 +89,7 @@
             decision_log.make_decision_log(clock),
             send_to_client=self._client_socket.send,
             send_to_agent=self._peer_socket.send,
+            call_later=_call_later,
         )
         self.view.on_change(self._on_view_change)
         self._exchange = None
@@ -270,5 +271,11 @@
         }
 
 
+def _call_later(delay_ms, function):
+    gevent.spawn_later(
+        delay_ms / 1000, periodic_task.run_and_log_errors, function
+    )
+
+
 def _ignore_unreachable(destination):
     LOG.debug('client address unreachable', extra={'ip': destination[0]})
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -31,6 +31,7 @@
         decisions: DecisionLog.
         send_to_client: ``send(data, address)`` on the clients' socket.
         send_to_agent: ``send(data, address)`` on the agents' socket.
+        call_later: ``call_later(delay_ms, function)`` calls a function later.
 
     Attributes:
         loads: ServerLoads.
@@ -50,6 +51,7 @@
         *,
         send_to_client,
         send_to_agent,
+        call_later,
     ):
         self._settings = settings
         self._format = packet_format
@@ -92,6 +94,7 @@
             decisions,
             find_route=self._find_route,
             forward=self._forward,
+            call_later=call_later,
         )
         self._early_packets = collections.deque(maxlen=MAX_EARLY_PACKETS)
         view.on_change(self._on_view_change)
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -16,6 +16,10 @@
 # attempt opens a new flow.
 MAX_TRIED_SERVERS = 8
 
+# A flow that can no longer be in time leaves a server that has just reported
+# room to the timely flows of other balancers for this long.
+LATE_YIELD_MS = 10
+
 NO_ROOM = 'no server has room in time'
 NO_SERVER = 'no server takes flows'
 
@@ -36,6 +40,7 @@
         find_route: ``find_route(flow)`` returns a FlowRoute or None.
         forward: ``forward(entry, data, slot_limit)`` sends a packet to the
             agent of a FlowEntry.
+        call_later: ``call_later(delay_ms, function)`` calls a function later.
 
     Attributes:
         waiting: OpeningQueue of the flows for which no server has room.
@@ -55,6 +60,7 @@
         *,
         find_route,
         forward,
+        call_later,
     ):
         self._clock = clock
         self._format = packet_format
@@ -67,6 +73,9 @@
         self._decisions = decisions
         self._find_route = find_route
         self._forward = forward
+        self._call_later = call_later
+        # Services whose late flows are placed soon.
+        self._yielding = set()
         self.waiting = opening_queue.make_opening_queue(clock)
         # (deadline_ms, flow, server name) of the packets that were sent,
         # ordered by deadline because all have the same timeout.
@@ -142,11 +151,12 @@
             else:
                 self._place_opening(opening, server, limit)
 
-    def place_waiting(self, service):
+    def place_waiting(self, service, *, yields=True):
         """Place the waiting flows of a service while its servers have room.
 
         Args:
             service: Name of a service that has a new load report.
+            yields: Whether late flows are placed only after a pause.
         """
         while True:
             opening = self.waiting.pop(service)
@@ -154,6 +164,10 @@
                 return
             if self._is_already_accepted(opening):
                 continue
+            if yields and self.waiting.is_late(opening):
+                self.waiting.requeue(opening)
+                self._place_late_soon(service)
+                return
             server = self._choose(opening.flow, service, ())
             limit = 0
             if server is not None:
@@ -165,6 +179,17 @@
                 return
             self._place_opening(opening, server, limit)
 
+    def _place_late_soon(self, service):
+        if service in self._yielding:
+            return
+        self._yielding.add(service)
+
+        def place_late():
+            self._yielding.discard(service)
+            self.place_waiting(service, yields=False)
+
+        self._call_later(LATE_YIELD_MS, place_late)
+
     def _place(self, packet, data, route):
         service = route.choose_service(packet.flow)
         server = self._choose(packet.flow, service, ())
@@ -213,7 +238,7 @@
             self._refusals.refuse(packet, NO_SERVER, opening.service)
             return
         waited_ms = self._clock.monotonic_ms() - opening.queued_ms
-        self._register_and_send(
+        entry = self._register_and_send(
             opening.flow,
             server,
             opening.data,
@@ -221,6 +246,7 @@
             opening.opened_ms,
             waited_ms,
         )
+        entry.wait_deadline_ms = opening.deadline_ms
 
     def _register_and_send(
         self, flow, server, data, limit, opened_ms, waited_ms=0
@@ -233,6 +259,7 @@
         latencies['opening_wait_ms'].add(waited_ms)
         latencies['opening_age_ms'].add(self._clock.monotonic_ms() - opened_ms)
         self._send(entry, server, 'flow placed', limit, waited_ms)
+        return entry
 
     def _place_again(self, entry, reason):
         entry.tried = (*entry.tried, entry.server_name)
@@ -268,6 +295,7 @@
                 entry.opening_data,
                 route,
                 entry.opened_ms,
+                entry.wait_deadline_ms,
             )
         ):
             self._place_again(entry, 'busy')
--- a/packages/flows/src/kingcupport/flows/flow_table.py
+++ b/packages/flows/src/kingcupport/flows/flow_table.py
@@ -30,6 +30,8 @@
         is_closing: Whether its client has closed its side.
         opening_data: Bytes of its opening packet until it is accepted.
         tried: Names of the servers that did not accept it.
+        wait_deadline_ms: When it stops waiting for a server with room, on the
+            monotonic clock; None if it has not waited.
     """
 
     flow: bytes
@@ -43,6 +45,7 @@
     is_closing: bool = False
     opening_data: bytes = b''
     tried: tuple = ()
+    wait_deadline_ms: float | None = None
 
 
 class FlowTable:
@@ -133,6 +136,9 @@
             is_accepted=is_accepted,
             opening_data=opening_data,
             tried=known.tried if known is not None else (),
+            wait_deadline_ms=(
+                known.wait_deadline_ms if known is not None else None
+            ),
         )
         self._entries[flow] = entry
         if len(self._entries) > self._capacity:
--- a/packages/flows/src/kingcupport/flows/opening_queue.py
+++ b/packages/flows/src/kingcupport/flows/opening_queue.py
@@ -23,12 +23,16 @@
 # Share of the latency target that may pass before a flow is sent to a server;
 # the handshake and the request take the rest. A flow that has waited longer
 # misses its target and is placed after those that can still meet theirs.
-LATEST_START_TARGET_SHARE = 0.7
-# A flow stops waiting after this share of its client's timeout, and after
-# MAX_WAIT_MS at the latest. Clients retransmit the opening packet after
-# 200 ms; one that has not done so may have given up.
-MAX_WAIT_TIMEOUT_SHARE = 0.25
-MAX_WAIT_MS = 200
+LATEST_START_TARGET_SHARE = 0.5
+# A late flow waits behind the others, because the new flow that its client
+# opens after a refusal would look as if it could be in time. It waits until
+# its client has been opening the flow for this share of the request's timeout,
+# and for MAX_AGE_MS at the latest: clients give up after 1,400 ms.
+MAX_AGE_TIMEOUT_SHARE = 0.7
+MAX_AGE_MS = 1_200
+# A flow of any age waits for at least this long, once. Clients retransmit the
+# opening packet within that time; one that has not done so may have given up.
+MIN_WAIT_MS = 200
 # Defaults for routes that configure no latency target or timeout.
 DEFAULT_TARGET_MS = 200
 DEFAULT_TIMEOUT_MS = 1_000
@@ -47,7 +51,7 @@
         opened_ms: Latest time at which its client sent the first copy.
         latest_start_ms: Latest time at which it can be sent to a server and
             still meet its latency target.
-        deadline_ms: Time at which it stops waiting.
+        deadline_ms: Time at which it is refused.
     """
 
     flow: bytes
@@ -100,7 +104,9 @@
         """Whether the opening packet of a flow is waiting."""
         return flow in self._waiting
 
-    def put(self, flow, service, data, route, opened_ms=None):
+    def put(
+        self, flow, service, data, route, opened_ms=None, deadline_ms=None
+    ):
         """Add an opening packet to the queue.
 
         Args:
@@ -110,6 +116,8 @@
             route: FlowRoute of the flow.
             opened_ms: Latest time at which its client sent the first copy, on
                 the monotonic clock; now by default.
+            deadline_ms: When it stops waiting, on the monotonic clock, if it
+                was in the queue before.
 
         Returns:
             Whether the queue had room for it.
@@ -119,7 +127,10 @@
         now_ms = self._clock.monotonic_ms()
         if opened_ms is None:
             opened_ms = now_ms
-        timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
+        if deadline_ms is None:
+            deadline_ms = max(
+                now_ms + MIN_WAIT_MS, opened_ms + _max_age_ms(route)
+            )
         self.requeue(
             WaitingOpening(
                 flow,
@@ -129,7 +140,7 @@
                 now_ms,
                 opened_ms,
                 latest_start_ms(route, opened_ms),
-                now_ms + min(MAX_WAIT_TIMEOUT_SHARE * timeout_ms, MAX_WAIT_MS),
+                deadline_ms,
             )
         )
         return True
@@ -192,6 +203,11 @@
         )
 
 
+def _max_age_ms(route):
+    timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
+    return min(MAX_AGE_TIMEOUT_SHARE * timeout_ms, MAX_AGE_MS)
+
+
 def make_opening_queue(clock):
     """Return an empty queue.
 
--- /dev/null
+++ b/tests/balancer/test_flow_overload.py
@@ -0,0 +1,115 @@
+"""Simulates fleets beyond capacity and checks what the callers get."""
+
+import flow_fleet_simulation
+import pytest
+
+BALANCERS = 9
+SERVERS = 7
+SLOTS = 3
+MEAN_WORK_MS = 41
+TARGET_MS = 226
+TIMEOUT_MS = 3_000
+CAPACITY_PER_S = 1_000 * SERVERS * SLOTS / MEAN_WORK_MS
+# A server that has just started takes longer, for some seconds.
+COLD_FACTOR = 1.6
+COLD_MS = 2_000
+
+
+class Load:
+    """Callers that ask at random times.
+
+    Args:
+        seed: Seed of all random numbers.
+        rate_per_s: Mean number of requests that are asked in a second.
+        duration_ms: How long callers ask.
+        outage_ms: How long no balancer runs at first.
+    """
+
+    def __init__(self, seed, rate_per_s, duration_ms, outage_ms=0):
+        self.fleet = flow_fleet_simulation.FlowFleetSimulation(
+            seed,
+            balancers=BALANCERS,
+            servers=SERVERS,
+            slots=SLOTS,
+            mean_work_ms=MEAN_WORK_MS,
+            target_ms=TARGET_MS,
+            timeout_ms=TIMEOUT_MS,
+        )
+        self.rate_per_ms = rate_per_s / 1_000
+        self.start_ms = self.fleet.clock.monotonic_ms()
+        self.end_ms = self.start_ms + duration_ms
+        self.requests = []
+        self.arrive()
+        if outage_ms:
+            self.go_through_outage(outage_ms)
+        self.fleet.run(duration_ms - outage_ms + TIMEOUT_MS)
+
+    def arrive(self):
+        self.requests.append(self.fleet.ask())
+        if self.fleet.clock.monotonic_ms() < self.end_ms:
+            pause_ms = self.fleet.rng.expovariate(self.rate_per_ms)
+            self.fleet.after(pause_ms, self.arrive)
+
+    def go_through_outage(self, outage_ms):
+        for balancer in self.fleet.balancers:
+            balancer.stop()
+        self.fleet.run(outage_ms)
+        for node in self.fleet.nodes:
+            node.server.mean_work_ms *= COLD_FACTOR
+            self.fleet.after(COLD_MS, self.warm_up, node.server)
+        for balancer in self.fleet.balancers:
+            balancer.start()
+        self.fleet.greet()
+
+    @staticmethod
+    def warm_up(server):
+        server.mean_work_ms = MEAN_WORK_MS
+
+    def shares(self, asked_from_ms=0):
+        """Return the shares of requests that are in time and that failed."""
+        asked = [
+            request
+            for request in self.requests
+            if request.asked_ms >= self.start_ms + asked_from_ms
+        ]
+        in_time = sum(
+            request.answered_ms is not None
+            and request.answered_ms - request.asked_ms <= TARGET_MS
+            for request in asked
+        )
+        failed = sum(request.answered_ms is None for request in asked)
+        return in_time / len(asked), failed / len(asked)
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_over_capacity_nobody_fails_who_can_be_served_late(seed):
+    """Load: 1.17 times the capacity for 3 s.
+
+    The work that exceeds the capacity takes half a second more, which is less
+    than the time that callers have.
+    """
+    load = Load(seed, 1.17 * CAPACITY_PER_S, 3_000)
+    _, failed = load.shares()
+    assert failed <= 0.02
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_after_an_outage_later_callers_are_served(seed):
+    """Load: 0.6 times the capacity, but 1.25 s of it arrive at once.
+
+    The servers are cold and need longer than 2 s to catch up.
+    """
+    load = Load(seed, 0.6 * CAPACITY_PER_S, 5_000, outage_ms=1_250)
+    _, failed = load.shares(asked_from_ms=1_250)
+    assert failed <= 0.02
+    _, failed = load.shares(asked_from_ms=3_250)
+    assert failed == 0
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_at_a_crest_requests_are_in_time(seed):
+    """Load: 0.86 times the capacity for 2 s."""
+    load = Load(seed, 0.86 * CAPACITY_PER_S, 2_000)
+    in_time, failed = load.shares()
+    assert failed == 0
+    assert in_time >= 0.95
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -28,6 +28,8 @@
         self.to_agents = []
         self.revision = 10
         self.sequence = 0
+        self.is_holding_calls = False
+        self._held_calls = []
         self.counters = flow_counters.FlowCounters()
         self.path = flow_data_path.FlowDataPath(
             flow_settings.FlowBalancerSettings(
@@ -40,11 +42,26 @@
             decision_log.make_decision_log(self.clock),
             send_to_client=lambda data, to: self.to_clients.append((data, to)),
             send_to_agent=self._send_to_agent,
+            call_later=self._call_later,
         )
         self.servers = [flow_support.make_server(i) for i in range(servers)]
         if is_populated:
             self.read()
 
+    def _call_later(self, delay_ms, function):
+        """Call a function at once, unless calls are held."""
+        if self.is_holding_calls:
+            self._held_calls.append(function)
+            return
+        self.clock.advance(delay_ms)
+        function()
+
+    def make_held_calls(self):
+        self.is_holding_calls = False
+        held_calls, self._held_calls = self._held_calls, []
+        for function in held_calls:
+            function()
+
     def _send_to_agent(self, data, destination):
         assert destination[1] == AGENT_PORT
         self.to_agents.append((flow_datagrams.decode(data), destination[0]))
