--- a/packages/flows/src/kingcupport/flows/server_loads.py
+++ b/packages/flows/src/kingcupport/flows/server_loads.py
@@ -10,6 +10,8 @@
 UNCONFIRMED_TIMEOUT_MS = 60
 # How long a server that left an opening packet unanswered is avoided.
 AVOID_MS = 1_000
+# Former agent processes whose late reports are ignored.
+MAX_FORMER_BOOTS = 4
 
 
 @attrs.define
@@ -29,6 +31,7 @@
         avoid_until_ms: Time until which the server is a last resort.
         unconfirmed: Expiry times by flow of the opening packets that were
             sent to the server and are not included in a report yet.
+        former_boots: Ids of the agent processes before ``boot``, latest last.
     """
 
     boot: int = 0
@@ -42,6 +45,7 @@
     reported_ms: float | None = None
     avoid_until_ms: float = 0.0
     unconfirmed: dict = attrs.field(factory=dict)
+    former_boots: tuple = ()
 
 
 class ServerLoads:
@@ -81,11 +85,17 @@
         # with the system clock.
         if report.boot == load.boot and report.sequence <= load.sequence:
             return False
+        if report.boot in load.former_boots:
+            return False
         now_ms = self._clock.monotonic_ms()
         if report.boot != load.boot or (
             load.is_silent and not report.is_silent
         ):
             load.avoid_until_ms = 0.0
+        if report.boot != load.boot:
+            load.former_boots = (*load.former_boots, load.boot)[
+                -MAX_FORMER_BOOTS:
+            ]
         load.boot = report.boot
         load.sequence = report.sequence
         load.running = report.running
--- a/tests/flows/test_flow_placement.py
+++ b/tests/flows/test_flow_placement.py
@@ -469,3 +469,12 @@
     harness.report(0, running=1, sequence=50)
     harness.report(0, boot=2, running=0, sequence=1)
     assert harness.loads.running('10.0.0.0') == 0
+
+
+def test_a_late_report_of_a_former_agent_process_is_ignored(harness):
+    """The former process was leaving; its successor takes new flows."""
+    harness.report(0, boot=2, sequence=1)
+    harness.report(0, is_leaving=True, sequence=60)
+    assert harness.loads.is_usable('10.0.0.0')
+    harness.report(0, boot=2, running=1, sequence=2)
+    assert harness.loads.running('10.0.0.0') == 1
