--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -1,5 +1,10 @@
 """Forwards packets between balancers, the backend server and clients."""
 
+import heapq
+import itertools
+
+import xxhash
+
 from kingcupport.common import errors
 from kingcupport.flows import held_flows
 from kingcupport.flows import holder_survey
@@ -8,11 +13,11 @@
 # Lifetime of a subscription, as a multiple of the greeting interval.
 SUBSCRIPTION_GREETING_INTERVALS = 2.6
 MAX_GREETING_INTERVAL_MS = 600_000
-# Up to this many subscribers, every balancer receives every load report and
-# knows the exact load. With more balancers the reports would be most of the
-# traffic, so a change of load is reported to a few of them only, and a busy
-# server returns opening packets that exceed its slots.
-MAX_FULL_REPORT_SUBSCRIBERS = 12
+# Balancers that are told every change of the load. Each agent chooses its own,
+# so that every balancer knows the exact load of a share of the servers and the
+# cost of a change does not grow with the number of balancers.
+EXACT_SUBSCRIBERS = 8
+# Other balancers that are told when a request has ended.
 REPORT_FANOUT = 3
 # A server that did not answer is offered new flows again after this time.
 SILENT_SERVER_RETRY_MS = 1_000
@@ -73,6 +78,8 @@
         self._boot = rng.getrandbits(32)
         self._sequence = 0
         self._subscribers = {}
+        # The subscribers that are told every change; None until chosen.
+        self._exact_subscribers = None
         # The last reported number of running requests, and the state that is
         # reported to all balancers when it changes.
         self._last_reported = (0, (0, False, False))
@@ -103,6 +110,8 @@
             self._on_status(source[0], datagram)
         elif isinstance(datagram, flow_datagrams.AgentGreeting):
             interval_ms = min(datagram.interval_ms, MAX_GREETING_INTERVAL_MS)
+            if source not in self._subscribers:
+                self._exact_subscribers = None
             self._subscribers[source] = (
                 self._clock.monotonic_ms()
                 + SUBSCRIPTION_GREETING_INTERVALS * interval_ms
@@ -352,18 +361,18 @@
         previous_running, previous_state = self._last_reported
         self._last_reported = (running, state)
         self._drop_expired_subscribers()
-        if (
-            state != previous_state
-            or len(self._subscribers) <= MAX_FULL_REPORT_SUBSCRIBERS
-        ):
+        if state != previous_state:
             self._send_report(self._subscribers)
-        elif running < previous_running:
-            recipients = self._rng.sample(
-                list(self._subscribers), REPORT_FANOUT
-            )
-            if balancer is not None and balancer not in recipients:
-                recipients.append(balancer)
-            self._send_report(recipients)
+            return
+        exact = self._choose_exact_subscribers()
+        others = ()
+        if running < previous_running:
+            others = self._subscribers.keys() - exact
+            if len(others) > REPORT_FANOUT:
+                others = set(self._rng.sample(sorted(others), REPORT_FANOUT))
+            if balancer in self._subscribers.keys() - exact:
+                others |= {balancer}
+        self._send_report((*exact, *others))
 
     def _drop_expired_subscribers(self):
         now_ms = self._clock.monotonic_ms()
@@ -372,10 +381,37 @@
         ]
         for address in expired:
             del self._subscribers[address]
+            self._exact_subscribers = None
+
+    def _choose_exact_subscribers(self):
+        if self._exact_subscribers is None:
+            own = str(self._settings.agent_address).encode()
+            self._exact_subscribers = frozenset(
+                heapq.nlargest(
+                    EXACT_SUBSCRIBERS,
+                    self._subscribers,
+                    key=lambda address: xxhash.xxh3_64_intdigest(
+                        own + f'{address}'.encode()
+                    ),
+                )
+            )
+        return self._exact_subscribers
 
     def _send_report(self, addresses):
         self._sequence += 1
-        report = flow_datagrams.encode(
+        exact = self._choose_exact_subscribers()
+        for is_exact, group in itertools.groupby(
+            sorted(addresses, key=exact.__contains__), exact.__contains__
+        ):
+            self._send_to_all(self._encode_report(is_exact), group)
+
+    def _send_to_all(self, report, addresses):
+        for address in addresses:
+            self._counters.reports_sent += 1
+            self._send_to_balancer(report, address)
+
+    def _encode_report(self, is_exact):
+        return flow_datagrams.encode(
             flow_datagrams.LoadReport(
                 self._boot,
                 self._sequence,
@@ -385,9 +421,6 @@
                 self.held_flows.failing_percent(),
                 self.is_leaving,
                 self.held_flows.is_silent,
-                len(self._subscribers) <= MAX_FULL_REPORT_SUBSCRIBERS,
+                is_exact,
             )
         )
-        for address in addresses:
-            self._counters.reports_sent += 1
-            self._send_to_balancer(report, address)
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -288,7 +288,7 @@
         route = self._find_route(entry.flow)
         if (
             route is None
-            or not self._loads.get(entry.ip).is_exact
+            or not self._will_report_room(entry.service)
             or not self.waiting.put(
                 entry.flow,
                 entry.service,
@@ -303,6 +303,15 @@
         self._table.forget(entry.flow)
         self.place_waiting(entry.service)
 
+    def _will_report_room(self, service):
+        """Whether some server reports every change of its load."""
+        servers = self._index.by_service.get(service, ())
+        return any(
+            self._loads.get(server.ip).is_exact
+            and self._loads.is_usable(server.ip)
+            for server in servers
+        )
+
     def _choose(self, flow, service, tried):
         return self._placement.choose(
             flow, self._index.by_service.get(service, ()), tried
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -92,9 +92,13 @@
         if running < server.slots:
             return server.slots
         load = self._loads.get(server.ip)
-        if not load.is_exact or not self._loads.is_usable(server.ip):
+        if not self._loads.is_usable(server.ip):
             # No report will announce that the server has room.
             return 0
+        if not load.is_exact:
+            # The server may have room again by now; if not, its agent declines
+            # the flow within 2 ms.
+            return server.slots
         if is_late:
             return None
         limit = server.slots + opening_queue.MAX_QUEUED_FLOWS_PER_SERVER
--- a/tests/agent/test_flow_data_path.py
+++ b/tests/agent/test_flow_data_path.py
@@ -232,8 +232,13 @@
 @pytest.mark.parametrize(
     ('balancers', 'opening_reports', 'closing_reports'),
     [
-        (flow_data_path.MAX_FULL_REPORT_SUBSCRIBERS,) * 3,
-        (21, 0, flow_data_path.REPORT_FANOUT + 1),
+        (flow_data_path.EXACT_SUBSCRIBERS,) * 3,
+        (
+            59,
+            flow_data_path.EXACT_SUBSCRIBERS,
+            # The balancer of the flow does not greet in this test.
+            flow_data_path.EXACT_SUBSCRIBERS + flow_data_path.REPORT_FANOUT,
+        ),
     ],
 )
 def test_reports_of_a_change_are_bounded(
@@ -250,6 +255,23 @@
     assert all(report.running == 0 for report in reports)
 
 
+def test_some_balancers_are_told_every_change(agent):
+    """They know that they are; the choice lasts while they greet."""
+    agent.greet(59)
+    agent.to_balancers.clear()
+    told = []
+    for number in range(2, 6):
+        flow = flow_support.make_flow(number)
+        agent.deliver(FORMAT.make(flow, flags=flow_support.OPEN))
+        told.append({to for d, to in agent.to_balancers if d.is_exact})
+        agent.to_balancers.clear()
+    assert len(told[0]) == flow_data_path.EXACT_SUBSCRIBERS
+    assert all(addresses == told[0] for addresses in told)
+    agent.greet(59)
+    exact = {to for d, to in agent.to_balancers if d.is_exact}
+    assert exact == told[0]
+
+
 def test_balancers_that_no_longer_greet_get_no_reports(agent):
     agent.greet()
     agent.clock.advance(60_000)
--- a/tests/balancer/test_flow_overload.py
+++ b/tests/balancer/test_flow_overload.py
@@ -1,5 +1,7 @@
 """Simulates fleets beyond capacity and checks what the callers get."""
 
+import statistics
+
 import flow_fleet_simulation
 import pytest
 
@@ -23,12 +25,20 @@
         rate_per_s: Mean number of requests that are asked in a second.
         duration_ms: How long callers ask.
         outage_ms: How long no balancer runs at first.
+        balancers: Number of balancers.
     """
 
-    def __init__(self, seed, rate_per_s, duration_ms, outage_ms=0):
+    def __init__(
+        self,
+        seed,
+        rate_per_s,
+        duration_ms,
+        outage_ms=0,
+        balancers=BALANCERS,
+    ):
         self.fleet = flow_fleet_simulation.FlowFleetSimulation(
             seed,
-            balancers=BALANCERS,
+            balancers=balancers,
             servers=SERVERS,
             slots=SLOTS,
             mean_work_ms=MEAN_WORK_MS,
@@ -113,3 +123,24 @@
     in_time, failed = load.shares()
     assert failed == 0
     assert in_time >= 0.95
+
+
+@pytest.mark.parametrize('load', [0.86, 1.17])
+def test_callers_do_not_notice_the_number_of_balancers(load):
+    """Load: a crest, and one beyond capacity, at 6 and at 30 balancers.
+
+    Agents report every change of their load to a few balancers only.
+    """
+    few, many = (
+        mean_shares(load * CAPACITY_PER_S, balancers) for balancers in (6, 30)
+    )
+    assert many[0] >= few[0] - 0.05
+    assert many[1] <= few[1] + 0.02
+
+
+def mean_shares(rate_per_s, balancers):
+    shares = [
+        Load(seed, rate_per_s, 2_000, balancers=balancers).shares()
+        for seed in (4, 5, 6)
+    ]
+    return [statistics.mean(values) for values in zip(*shares, strict=True)]
