--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -8,6 +8,7 @@
 from kingcupport.common import errors
 from kingcupport.flows import held_flows
 from kingcupport.flows import holder_survey
+from kingcupport.flows import server_probes
 from kingcupport.wire import flow_datagrams
 
 # Lifetime of a subscription, as a multiple of the greeting interval.
@@ -74,6 +75,7 @@
             is_complete=settings.is_first_start,
         )
         self.surveys = holder_survey.make_holder_surveys(clock)
+        self._probes = server_probes.make_server_probes(clock)
         self._rng = rng
         self._boot = rng.getrandbits(32)
         self._sequence = 0
@@ -153,8 +155,9 @@
         self._check_server()
 
     def drop_expired(self):
-        """Forget old flows and surveys; called periodically."""
+        """Forget old flows, probes and surveys; called periodically."""
         self.held_flows.drop_expired(self._settings.max_flow_ms)
+        self._probes.drop_expired()
         self.surveys.drop_expired()
 
     def _check_server(self):
@@ -213,7 +216,7 @@
         holding = self.held_flows.holding(packet.flow, packet.acknowledged)
         if holding == flow_datagrams.Holding.UNKNOWN:
             self._counters.probes += 1
-            self.held_flows.on_probe(packet, data, source)
+            self._probes.add(packet, data, source)
             self._send_to_server(
                 data, self._settings.server_address.as_tuple()
             )
@@ -222,7 +225,7 @@
 
     def _on_search(self, search, source):
         packet = self._format.read_from_client(search.packet_data)
-        ips = {ip for ip in search.agent_ips if type(ip) is str}
+        ips = [ip for ip in search.agent_ips if type(ip) is str]
         if packet is None or packet.is_open or not ips:
             self._counters.packets_malformed += 1
             return
@@ -273,13 +276,9 @@
         )
 
     def _on_answer(self, packet, data):
-        probe = self.held_flows.take_probe(packet.flow)
+        probe = self._probes.take(packet.flow)
         if probe is not None:
-            held_flow = self.held_flows.on_client_packet(
-                probe.packet, probe.data, probe.balancer
-            )
-            if probe.packet.data_bytes:
-                self._record_request(held_flow, probe.packet, probe.data)
+            self._on_probe_accepted(probe)
         status = (
             self._format.answer_status(data) if packet.data_bytes else None
         )
@@ -297,9 +296,16 @@
         self._send_to_client(data, self._format.client_address(packet.flow))
         return held_flow.balancer
 
-    def _send_status(self, flow, holding, balancer):
+    def _on_probe_accepted(self, probe):
+        held_flow = self.held_flows.on_client_packet(
+            probe.packet, probe.data, probe.sender
+        )
+        if probe.packet.data_bytes:
+            self._record_request(held_flow, probe.packet, probe.data)
+
+    def _send_status(self, flow, holding, destination):
         status = flow_datagrams.FlowStatus(flow, int(holding))
-        self._send_to_balancer(flow_datagrams.encode(status), balancer)
+        self._send_to_balancer(flow_datagrams.encode(status), destination)
 
     def _record_answer(self, held_flow, packet, status, took_ms):
         self._counters.answers += 1
@@ -319,11 +325,11 @@
         self._counters.bounces += 1
         probe = None
         if not packet.is_open:
-            probe = self.held_flows.take_probe(packet.flow)
+            probe = self._probes.take(packet.flow)
         if probe is not None:
             self.held_flows.is_silent = False
             self._send_status(
-                packet.flow, flow_datagrams.Holding.NO, probe.balancer
+                packet.flow, flow_datagrams.Holding.NO, probe.sender
             )
             return None
         held_flow, reason = self.held_flows.on_bounce(packet)
@@ -364,15 +370,15 @@
         if state != previous_state:
             self._send_report(self._subscribers)
             return
-        exact = self._choose_exact_subscribers()
-        others = ()
+        recipients = list(self._choose_exact_subscribers())
         if running < previous_running:
-            others = self._subscribers.keys() - exact
-            if len(others) > REPORT_FANOUT:
-                others = set(self._rng.sample(sorted(others), REPORT_FANOUT))
-            if balancer in self._subscribers.keys() - exact:
-                others |= {balancer}
-        self._send_report((*exact, *others))
+            others = [a for a in self._subscribers if a not in recipients]
+            recipients += self._rng.sample(
+                others, min(len(others), REPORT_FANOUT)
+            )
+            if balancer in others and balancer not in recipients:
+                recipients.append(balancer)
+        self._send_report(recipients)
 
     def _drop_expired_subscribers(self):
         now_ms = self._clock.monotonic_ms()
@@ -386,14 +392,12 @@
     def _choose_exact_subscribers(self):
         if self._exact_subscribers is None:
             own = str(self._settings.agent_address).encode()
-            self._exact_subscribers = frozenset(
-                heapq.nlargest(
-                    EXACT_SUBSCRIBERS,
-                    self._subscribers,
-                    key=lambda address: xxhash.xxh3_64_intdigest(
-                        own + f'{address}'.encode()
-                    ),
-                )
+            self._exact_subscribers = heapq.nlargest(
+                EXACT_SUBSCRIBERS,
+                self._subscribers,
+                key=lambda address: xxhash.xxh3_64_intdigest(
+                    own + f'{address}'.encode()
+                ),
             )
         return self._exact_subscribers
 
--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -28,10 +28,6 @@
 # The longest request takes 260 ms, and a slow server takes 8 times as long. A
 # request that is still unanswered is no longer counted as running.
 MAX_REQUEST_MS = 3_000
-# A server returns a packet of an unknown flow at once, but answers a request
-# only when it has run.
-PROBE_TIMEOUT_MS = 3_000
-MAX_PROBES = 4_096
 # Sequence numbers wrap at 32 bits.
 _SEQUENCE_MODULUS = 1 << 32
 _HALF_SEQUENCE_MODULUS = 1 << 31
@@ -82,24 +78,6 @@
     client_end_sequence: int | None = None
 
 
-@attrs.frozen
-class FlowProbe:
-    """A packet that was sent to the server to learn whether it holds a flow.
-
-    Args:
-        packet: FlowPacket.
-        data: Its bytes.
-        balancer: ``(ip, port)`` of the balancer that sent it.
-        expires_ms: When the server's answer is no longer attributed to it, on
-            the monotonic clock.
-    """
-
-    packet: object
-    data: bytes
-    balancer: tuple
-    expires_ms: float
-
-
 class HeldFlows:
     """The flows of the server, its running requests and its failure rate.
 
@@ -130,7 +108,6 @@
         self._awaiting_request = {}
         self._running = {}
         self._opening = {}
-        self._probes = collections.OrderedDict()
         self._answers = collections.deque(maxlen=MAX_RECENT_ANSWERS)
         self.is_silent = False
 
@@ -289,36 +266,6 @@
         self.forget(packet.flow)
         return held, reason
 
-    def on_probe(self, packet, data, balancer):
-        """Remember a packet that is sent to the server as a probe.
-
-        It does not count as a request until the server has accepted it.
-
-        Args:
-            packet: FlowPacket.
-            data: Its bytes.
-            balancer: ``(ip, port)`` of the balancer that sent it.
-        """
-        now_ms = self._clock.monotonic_ms()
-        self._probes.pop(packet.flow, None)
-        self._probes[packet.flow] = FlowProbe(
-            packet, data, balancer, now_ms + PROBE_TIMEOUT_MS
-        )
-        if len(self._probes) > MAX_PROBES:
-            self._probes.popitem(last=False)
-
-    def take_probe(self, flow):
-        """Remove and return the FlowProbe of a flow, or None.
-
-        Args:
-            flow: Bytes that identify the flow; the server has just sent or
-                returned a packet of it.
-        """
-        probe = self._probes.pop(flow, None)
-        if probe is None or self._clock.monotonic_ms() >= probe.expires_ms:
-            return None
-        return probe
-
     def holding(self, flow, acknowledged):
         """Return whether the server holds a flow, as a Holding value.
 
@@ -391,13 +338,6 @@
         ]
         for flow in expired:
             self.forget(flow)
-        expired_probes = [
-            flow
-            for flow, probe in self._probes.items()
-            if now_ms >= probe.expires_ms
-        ]
-        for flow in expired_probes:
-            del self._probes[flow]
 
     def _add(self, flow, held):
         self.forget(flow)
