--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -264,6 +264,7 @@
             'servers': len(self.view.servers),
             'configuration_version': self.view.configuration.version,
             'view_age_ms': -1 if age_ms is None else age_ms,
+            'view_read_revision': self.view.read_revision,
             'datagrams_dropped': (
                 self._client_socket.dropped_count
                 + self._peer_socket.dropped_count
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -129,9 +129,25 @@
                 'new flows',
                 extra={'names': update.invalid_names[:MAX_LISTED_PEERS]},
             )
+        if update.is_full_read:
+            self._log_full_read(update)
         has_changed = self._view.apply_update(update, started_ms)
         self._announce_view(to_all=has_changed)
 
+    def _log_full_read(self, update):
+        configuration = update.configuration
+        LOG.info(
+            'store read in full',
+            extra={
+                'era': update.era,
+                'revision': update.revision,
+                'previous_revision': self._view.read_revision,
+                'version': configuration and configuration.version,
+                'previous_version': self._view.configuration.version,
+                'servers': len(update.servers),
+            },
+        )
+
     def _call_source(self, started_ms):
         self._counters.source_calls += 1
         try:
--- a/packages/flows/src/kingcupport/flows/fleet_source.py
+++ b/packages/flows/src/kingcupport/flows/fleet_source.py
@@ -30,6 +30,8 @@
         servers: FlowServer objects.
         removed: ``(name, revision)`` pairs of the removed servers.
         invalid_names: Names of the entries that are no valid server.
+        era: Number of times that the source has been restored from a copy,
+            as far as it tells; 0 if it does not.
     """
 
     revision: int
@@ -38,6 +40,7 @@
     servers: list = attrs.field(factory=list)
     removed: list = attrs.field(factory=list)
     invalid_names: list = attrs.field(factory=list)
+    era: int = 0
 
 
 class FleetSource(abc.ABC):
