--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -28,10 +28,12 @@
         is_silent: Whether calls get no response.
         page_size: Maximum number of items in a page.
         calls: Paths of all calls, in order.
+        era: Number in the header ``Store-Era``, raised by each restore.
     """
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
         self.items = {}
         self.history = []
         self.oldest_kept_revision = 0
@@ -39,6 +41,9 @@
         self.is_silent = False
         self.page_size = 50
         self.calls = []
+        # Servers count their entries themselves, so a restore leaves the
+        # count as it is.
+        self._sequence = itertools.count(1)
         self._server = gevent.pywsgi.WSGIServer(
             ('127.0.0.1', 0), self._answer, log=None
         )
@@ -73,6 +78,31 @@
     def forget_history(self):
         self.oldest_kept_revision = self.revision
 
+    def take_copy(self):
+        """Return a copy from which ``restore`` continues."""
+        return self.revision, dict(self.items), list(self.history)
+
+    def restore(self, copy):
+        """Lose all changes since a copy; their revisions are given out again.
+
+        Returns:
+            The lost items by key, for ``write_again``.
+        """
+        lost = self.items
+        self.revision, items, history = copy
+        self.items, self.history = dict(items), list(history)
+        self.era += 1
+        return {
+            key: item
+            for key, item in lost.items()
+            if self.items.get(key) != item
+        }
+
+    def write_again(self, lost):
+        """Write lost items again, as the operator and the servers do."""
+        for key, item in lost.items():
+            self.put(key, base64.b64decode(item['value']))
+
     def put_server(self, name, ip, port, service='gate', **changes):
         value = {
             'service': service,
@@ -82,7 +112,7 @@
             'slots': 1,
             'state': 'ready',
             'cold_left_ms': 0,
-            'seq_no': self.revision,
+            'seq_no': next(self._sequence),
             'born': 1_769_989_182_125,
         }
         self.put(f'servers/{name}', {**value, **changes})
@@ -114,7 +144,13 @@
             gevent.sleep(60)
         query = dict(urllib.parse.parse_qsl(environ['QUERY_STRING']))
         status, body = self._status_and_body(path, query)
-        start_response(f'{status} x', [('Content-Type', 'application/json')])
+        start_response(
+            f'{status} x',
+            [
+                ('Content-Type', 'application/json'),
+                ('Store-Era', str(self.era)),
+            ],
+        )
         return [body if isinstance(body, bytes) else json.dumps(body).encode()]
 
     def _status_and_body(self, path, query):
@@ -134,7 +170,7 @@
                 'current_rev': self.revision,
             }
         after = int(query['after'])
-        if after < self.oldest_kept_revision:
+        if not self.oldest_kept_revision <= after <= self.revision:
             return 410, {}
         deadline_ms = int(query['wait_ms'])
         for _ in range(deadline_ms // 10):
--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -64,6 +64,17 @@
         source.read_changes(revision)
 
 
+def test_watch_across_a_restore_raises_history_lost_error(store, source):
+    copy = store.take_copy()
+    store.put_server('i-1', '10.0.0.1', 80)
+    revision = source.read_all().revision
+    store.restore(copy)
+    for number in (2, 3):
+        store.put_server(f'i-{number}', f'10.0.0.{number}', 80)
+    with pytest.raises(fleet_source.HistoryLostError):
+        source.read_changes(revision)
+
+
 def test_invalid_entries_are_skipped(store, source):
     store.put_server('i-1', '10.0.0.1', 80)
     store.put('servers/i-2', b'\xff\xfe')
