--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -12,6 +12,7 @@
 from kingcupport.control import periodic_task
 from kingcupport.flows import fleet_view
 from kingcupport.flows import read_schedule
+from kingcupport.flows import store_revision
 from kingcupport.observability import decision_log
 from kingcupport.observability import health as health_module
 from kingcupport.observability import probe_server
@@ -55,7 +56,9 @@
         self.health = health_module.Health()
         self.finished = event.Event()
         self.counters = flow_counters.FlowCounters()
-        self.view = fleet_view.make_fleet_view(clock)
+        self.view = fleet_view.make_fleet_view(
+            clock, settings.server_expiry_ms
+        )
         self._settings = settings
         self._clock = clock
         self._tasks = []
@@ -181,7 +184,9 @@
             'audit',
             extra={
                 'audit_kind': kind,
-                'view_revision': self.view.content_revision,
+                'view_revision': store_revision.to_text(
+                    self.view.content_revision
+                ),
                 **fields,
             },
         )
@@ -264,7 +269,10 @@
             'servers': len(self.view.servers),
             'configuration_version': self.view.configuration.version,
             'view_age_ms': -1 if age_ms is None else age_ms,
-            'view_read_revision': self.view.read_revision,
+            'view_read_revision': store_revision.number_of(
+                self.view.read_revision
+            ),
+            'store_era': self.view.era,
             'datagrams_dropped': (
                 self._client_socket.dropped_count
                 + self._peer_socket.dropped_count
--- a/packages/balancer/src/kingcupport/balancer/flow_settings.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_settings.py
@@ -21,6 +21,8 @@
         max_flow_ms: Age at which a flow may be dropped.
         stop_after_ms: How long a stopping balancer still forwards packets; the
             routers notice within this time that it is not ready.
+        server_expiry_ms: Time after which the store drops the entry of a
+            silent server.
     """
 
     name: str
@@ -33,3 +35,4 @@
     seed_ips: tuple = ()
     max_flow_ms: int = 60_000
     stop_after_ms: int = 2_500
+    server_expiry_ms: int = 3_000
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -5,6 +5,7 @@
 from gevent import event
 
 from kingcupport.flows import fleet_source
+from kingcupport.flows import store_revision
 from kingcupport.wire import flow_datagrams
 
 LOG = logging.getLogger(__name__)
@@ -99,18 +100,33 @@
     def run_reader(self):
         """Read the store whenever a read is due; never returns."""
         while True:
-            now_ms = self._clock.monotonic_ms()
-            due_ms = self._schedule.next_read_ms()
-            if due_ms > now_ms:
+            if not self.read_if_due():
+                now_ms = self._clock.monotonic_ms()
                 self._clock.sleep_until(
-                    min(due_ms, now_ms + SCHEDULE_CHECK_MS)
+                    min(
+                        self._schedule.next_read_ms(),
+                        now_ms + SCHEDULE_CHECK_MS,
+                    )
                 )
-                continue
-            self._read(now_ms)
+
+    def read_if_due(self):
+        """Read the store if the schedule says so.
+
+        Returns:
+            Whether the store was called.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if self._schedule.next_read_ms() > now_ms:
+            return False
+        self._read(now_ms)
+        return True
 
     def _read(self, started_ms):
         try:
             update = self._call_source(started_ms)
+            if update.is_full_read:
+                self._log_full_read(update)
+            has_changed = self._view.apply_update(update, started_ms)
         except fleet_source.HistoryLostError as error:
             LOG.info('store lost its history', extra={'error': error})
             self._needs_full_read = True
@@ -121,7 +137,10 @@
         self._needs_full_read = False
         self._schedule.on_success()
         if self._was_source_available is not True:
-            LOG.info('store regained', extra={'revision': update.revision})
+            LOG.info(
+                'store regained',
+                extra={'revision': store_revision.to_text(update.revision)},
+            )
         self._was_source_available = True
         if update.invalid_names:
             LOG.warning(
@@ -129,9 +148,6 @@
                 'new flows',
                 extra={'names': update.invalid_names[:MAX_LISTED_PEERS]},
             )
-        if update.is_full_read:
-            self._log_full_read(update)
-        has_changed = self._view.apply_update(update, started_ms)
         self._announce_view(to_all=has_changed)
 
     def _log_full_read(self, update):
@@ -139,9 +155,10 @@
         LOG.info(
             'store read in full',
             extra={
-                'era': update.era,
-                'revision': update.revision,
-                'previous_revision': self._view.read_revision,
+                'revision': store_revision.to_text(update.revision),
+                'previous_revision': store_revision.to_text(
+                    self._view.read_revision
+                ),
                 'version': configuration and configuration.version,
                 'previous_version': self._view.configuration.version,
                 'servers': len(update.servers),
@@ -150,8 +167,13 @@
 
     def _call_source(self, started_ms):
         self._counters.source_calls += 1
+        settle_due_ms = self._view.settle_due_ms
         try:
-            if self._needs_full_read or self._view.read_revision == 0:
+            if (
+                self._needs_full_read
+                or self._view.read_revision == 0
+                or (settle_due_ms is not None and started_ms >= settle_due_ms)
+            ):
                 return self._source.read_all()
             return self._source.read_changes(self._view.read_revision)
         finally:
--- a/packages/flows/src/kingcupport/flows/fleet_source.py
+++ b/packages/flows/src/kingcupport/flows/fleet_source.py
@@ -19,19 +19,24 @@
     code = 'source_history_lost'
 
 
+class FormerEraError(SourceError):
+    """A response is from before a restore of the source."""
+
+    code = 'source_former_era'
+
+
 @attrs.define
 class FleetUpdate:
     """The result of one read from the source.
 
     Args:
-        revision: Revision up to which the result is complete.
+        revision: Qualified revision up to which the result is complete.
         is_full_read: Whether all entries were read, not only changes.
         configuration: FlowConfiguration, or None if none was read.
         servers: FlowServer objects.
-        removed: ``(name, revision)`` pairs of the removed servers.
+        removed: Names of the removed servers, each with the qualified
+            revision of its removal.
         invalid_names: Names of the entries that are no valid server.
-        era: Number of times that the source has been restored from a copy,
-            as far as it tells; 0 if it does not.
     """
 
     revision: int
@@ -40,7 +45,6 @@
     servers: list = attrs.field(factory=list)
     removed: list = attrs.field(factory=list)
     invalid_names: list = attrs.field(factory=list)
-    era: int = 0
 
 
 class FleetSource(abc.ABC):
@@ -51,6 +55,7 @@
         """Return a FleetUpdate of all entries.
 
         Raises:
+            HistoryLostError: The source was restored during the read.
             SourceError: The source did not answer or refused the call.
         """
 
@@ -59,11 +64,12 @@
         """Return a FleetUpdate of the changes since a revision.
 
         Args:
-            after_revision: Revision up to which the caller is up to date.
+            after_revision: Qualified revision up to which the caller is up to
+                date.
 
         Raises:
-            HistoryLostError: The source no longer has these changes; the
-                caller has to read all entries.
+            HistoryLostError: The source no longer has these changes, or has
+                been restored since; the caller has to read all entries.
             SourceError: The source did not answer or refused the call.
         """
 
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -1,11 +1,16 @@
-"""A balancer's view of the routes and backend servers."""
+"""A balancer's view of the routes and backend servers.
+
+Revisions in this module are qualified by the era of the store.
+"""
 
 import collections
 
 import attrs
 
+from kingcupport.flows import fleet_source
 from kingcupport.flows import flow_route
 from kingcupport.flows import flow_server
+from kingcupport.flows import store_revision
 
 # Removals that are kept to compute differences for peers; the planned fleet
 # has 910 changes a day.
@@ -16,6 +21,15 @@
 # Servers whose entries expired during an outage of the source register again
 # within about 2,000 ms of its recovery.
 REREGISTRATION_GRACE_MS = 2_000
+# Time for the last reports and expiries to arrive before a view takes every
+# entry of a restored store as it is.
+SETTLING_MARGIN_MS = 500
+
+
+@attrs.frozen
+class _Tombstone:
+    revision: int
+    writing_order: tuple
 
 
 @attrs.define
@@ -31,20 +45,35 @@
     older revision never replaces a newer one. Neither a delayed read nor a
     peer that lags behind can therefore revert an entry.
 
+    A store that was restored from a copy starts a new era. Until its writers
+    have written again what it lost, an entry of the copy does not replace one
+    that its server wrote later, and missing servers are kept. Afterwards the
+    view settles: it takes the entries of one full read as they are.
+
     Args:
         clock: Clock.
+        server_expiry_ms: Time after which the store drops the entry of a
+            silent server.
 
     Attributes:
+        era: Newest known era of the store.
         configuration: FlowConfiguration in force.
         servers: FlowServer by name.
         content_revision: Highest revision of a change to the servers.
         read_revision: Revision of the store up to which the view is complete.
         confirmed_ms: When the store last confirmed the view, on the monotonic
             clock; None before the first time.
+        settle_due_ms: When the view has to be read in full to settle after a
+            restore, on the monotonic clock; None if it is settled.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, server_expiry_ms):
         self._clock = clock
+        self._settling_ms = SETTLING_MARGIN_MS + max(
+            REREGISTRATION_GRACE_MS, server_expiry_ms
+        )
+        self.era = 0
+        self.settle_due_ms = None
         self.configuration = flow_route.EMPTY_CONFIGURATION
         self.servers = {}
         self.content_revision = 0
@@ -92,13 +121,32 @@
         Returns:
             Whether the configuration or a server changed; a new revision of
             an otherwise equal entry is no change.
+
+        Raises:
+            FormerEraError: The read is from before a restore of the source.
         """
+        era = store_revision.era_of(update.revision)
+        if era < self.era:
+            raise fleet_source.FormerEraError(
+                f'read is of era {era}, the view of {self.era}',
+                step='apply_update',
+                peer=None,
+            )
         before = (self.configuration.version, self.content_revision)
+        self._enter_era(era)
         self._detect_outage()
+        if update.is_full_read:
+            self._settle_if_due(started_ms)
         if update.configuration is not None:
             self.apply_configuration(update.configuration)
         for server in update.servers:
-            self._put(server, update.revision)
+            # The entry is the current one at the revision of a full read.
+            self._put(
+                server,
+                max(server.revision, update.revision)
+                if update.is_full_read
+                else server.revision,
+            )
         for name, revision in update.removed:
             self._schedule_removal(name, revision)
         for name in update.invalid_names:
@@ -139,12 +187,14 @@
             TypeError: The lists have another shape.
         """
         configuration, servers, removed, revision = plain
+        self._enter_era(store_revision.era_of(revision))
         if configuration:
             self.apply_configuration(
                 flow_route.decode_configuration(configuration)
             )
         for item in servers:
-            self._put(flow_server.server_from_plain(item), revision)
+            server = flow_server.server_from_plain(item)
+            self._put(server, server.revision)
         for name, removed_revision in removed:
             self._remove(name, removed_revision)
         self.content_revision = max(self.content_revision, revision)
@@ -163,9 +213,9 @@
             if is_whole or server.revision > revision
         ]
         removed = [
-            [name, removed_revision]
-            for name, removed_revision in self._tombstones.items()
-            if removed_revision > revision
+            [name, tombstone.revision]
+            for name, tombstone in self._tombstones.items()
+            if tombstone.revision > revision
         ]
         configuration = None
         if self.configuration.version > version:
@@ -184,10 +234,27 @@
             confirmed_ms: When it matched, on the monotonic clock.
             read_revision: Revision of the store at that time.
         """
+        self._enter_era(store_revision.era_of(read_revision))
         self.read_revision = max(self.read_revision, read_revision)
         if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
             self.confirmed_ms = confirmed_ms
 
+    def _enter_era(self, era):
+        if era <= self.era:
+            return
+        previous_era, self.era = self.era, era
+        if not (self.servers or self._tombstones or self.configuration.routes):
+            return
+        now_ms = self._clock.monotonic_ms()
+        self._grace_end_ms = now_ms + REREGISTRATION_GRACE_MS
+        self.settle_due_ms = now_ms + self._settling_ms
+        self._notify('store_restored', era=era, previous_era=previous_era)
+
+    def _settle_if_due(self, started_ms):
+        if self.settle_due_ms is not None and started_ms >= self.settle_due_ms:
+            self.settle_due_ms = None
+            self._notify('view_settled', era=self.era)
+
     def _detect_outage(self):
         age_ms = self.age_ms()
         if age_ms is not None and age_ms > MIN_OUTAGE_MS:
@@ -197,23 +264,20 @@
 
     def _put(self, server, revision):
         known = self.servers.get(server.name)
-        known_revision = (
-            known.revision
-            if known is not None
-            else self._tombstones.get(server.name, -1)
-        )
-        if server.revision <= known_revision:
+        last = known or self._tombstones.get(server.name)
+        if last is not None and (
+            revision <= last.revision
+            or self._is_outdated_copy(server, revision, last)
+        ):
             return
         self._pending_removals.pop(server.name, None)
         if known is not None and not server.differs_from(known):
             # A heartbeat only. The stored revision is kept, because
             # differences for peers are computed from it.
             return
-        self.servers[server.name] = server
+        self.servers[server.name] = attrs.evolve(server, revision=revision)
         self._tombstones.pop(server.name, None)
-        self.content_revision = max(
-            self.content_revision, server.revision, revision
-        )
+        self.content_revision = max(self.content_revision, revision)
         self._notify(
             'server_changed',
             server=server.name,
@@ -221,7 +285,19 @@
             ip=server.ip,
             draining=server.is_draining,
             boot_utc_ms=server.boot_utc_ms,
-            revision=server.revision,
+            revision=store_revision.to_text(revision),
+        )
+
+    def _is_outdated_copy(self, server, revision, last):
+        if self.settle_due_ms is None or store_revision.era_of(
+            revision
+        ) == store_revision.era_of(last.revision):
+            return False
+        # A server that has left writes nothing again, so its last entry is as
+        # outdated as the ones before.
+        is_gone = isinstance(last, _Tombstone)
+        return server.writing_order < last.writing_order or (
+            is_gone and server.writing_order == last.writing_order
         )
 
     def _remove_missing(self, update):
@@ -237,7 +313,10 @@
 
     def _schedule_removal(self, name, revision):
         server = self.servers.get(name)
-        if server is None or revision <= server.revision:
+        if server is None:
+            self._raise_tombstone(name, revision)
+            return
+        if revision <= server.revision:
             return
         now_ms = self._clock.monotonic_ms()
         if server.is_draining or now_ms >= self._grace_end_ms:
@@ -260,32 +339,47 @@
     def _remove(self, name, revision):
         self._pending_removals.pop(name, None)
         server = self.servers.get(name)
-        if server is None or revision <= server.revision:
+        if server is None:
+            self._raise_tombstone(name, revision)
+            return
+        if revision <= server.revision:
             return
         del self.servers[name]
-        self._tombstones[name] = revision
+        self._tombstones[name] = _Tombstone(revision, server.writing_order)
         if len(self._tombstones) > MAX_TOMBSTONES:
             _, oldest = self._tombstones.popitem(last=False)
             self._oldest_tombstone_revision = max(
-                oldest, self._oldest_tombstone_revision
+                oldest.revision, self._oldest_tombstone_revision
             )
         self.content_revision = max(self.content_revision, revision)
         self._notify(
             'server_removed',
             server=name,
             service=server.service,
-            revision=revision,
+            revision=store_revision.to_text(revision),
         )
 
+    def _raise_tombstone(self, name, revision):
+        # A peer that started after a restore may still have the server from
+        # the copy, and learns of its removal from the newer revision.
+        tombstone = self._tombstones.get(name)
+        if tombstone is None or revision <= tombstone.revision:
+            return
+        self._tombstones[name] = attrs.evolve(tombstone, revision=revision)
+        self._tombstones.move_to_end(name)
+        self.content_revision = max(self.content_revision, revision)
+
     def _notify(self, kind, **fields):
         for callback in self._callbacks:
             callback(kind, fields)
 
 
-def make_fleet_view(clock):
+def make_fleet_view(clock, server_expiry_ms=3_000):
     """Return an empty view.
 
     Args:
         clock: Clock.
+        server_expiry_ms: Time after which the store drops the entry of a
+            silent server.
     """
-    return FleetView(clock)
+    return FleetView(clock, server_expiry_ms)
--- a/packages/flows/src/kingcupport/flows/flow_server.py
+++ b/packages/flows/src/kingcupport/flows/flow_server.py
@@ -16,7 +16,8 @@
         is_draining: Whether it accepts no new flows.
         boot_utc_ms: Start time in Unix milliseconds.
         is_cold: Whether it has just started and is still slow.
-        revision: Revision of the store at which the entry was written.
+        sequence: Number of the entry, counted by the server since its start.
+        revision: Qualified revision at which the store had this entry.
     """
 
     name: str
@@ -27,11 +28,20 @@
     is_draining: bool
     boot_utc_ms: int
     is_cold: bool
+    sequence: int
     revision: int
 
+    @property
+    def writing_order(self):
+        """Order in which servers of this name wrote their entries."""
+        return self.boot_utc_ms, self.sequence
+
     def differs_from(self, other):
-        """Whether any field except the revision differs from ``other``."""
-        return attrs.evolve(self, revision=other.revision) != other
+        """Whether anything but the sequence or the revision differs."""
+        same_write = attrs.evolve(
+            self, sequence=other.sequence, revision=other.revision
+        )
+        return same_write != other
 
 
 def server_to_plain(server):
@@ -39,7 +49,7 @@
     return list(attrs.astuple(server))
 
 
-_TYPES = (str, str, str, str, int, bool, int, bool, int)
+_TYPES = (str, str, str, str, int, bool, int, bool, int, int)
 
 
 def server_from_plain(plain):
--- a/packages/flows/src/kingcupport/flows/read_schedule.py
+++ b/packages/flows/src/kingcupport/flows/read_schedule.py
@@ -19,6 +19,9 @@
 READER_EXPIRES_MS = 4_000
 # Exponential backoff after failed reads.
 INITIAL_BACKOFF_MS = 400
+# Every balancer reads once to settle after a restore; these reads are spread
+# over this time, so that they stay below the rate limit of the service.
+SETTLING_SPREAD_MS = 1_000
 MAX_BACKOFF_MS = 3_000
 
 
@@ -105,6 +108,10 @@
             due_ms = (
                 confirmed_ms + READ_INTERVAL_MS + delay_ranks * RANK_DELAY_MS
             )
+        settle_due_ms = self._view.settle_due_ms
+        if settle_due_ms is not None:
+            spread_ms = _name_hash(self._name) % SETTLING_SPREAD_MS
+            due_ms = min(due_ms, settle_due_ms + spread_ms)
         return max(due_ms, self._backoff_until_ms)
 
 
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -155,7 +155,8 @@
     interval_ms: int
 
 
-@_register_datagram(7)
+# Code 7 was a greeting with revisions that had no era.
+@_register_datagram(11)
 @attrs.define
 class BalancerGreeting:
     """Advertises the state of a balancer to the other balancers.
@@ -164,8 +165,8 @@
         name: Name of the sender.
         configuration_version: Version in force at the sender, 0
             without one.
-        content_revision: Revision of the last change of a server.
-        read_revision: Store revision up to which the view is complete.
+        content_revision: Qualified revision of the last change of a server.
+        read_revision: Qualified revision up to which the view is complete.
         confirmed_age_ms: How long ago the store confirmed the view; -1 if
             it never did.
         is_reading: Whether the sender's last call to the store succeeded.
--- a/packages/wire/src/kingcupport/wire/flow_messages.py
+++ b/packages/wire/src/kingcupport/wire/flow_messages.py
@@ -1,11 +1,14 @@
-"""Peer messages between balancers that forward flows (codes 80 to 89)."""
+"""Peer messages between balancers that forward flows (codes 80 to 89).
+
+Codes 80 and 81 belonged to messages with revisions that had no era.
+"""
 
 import attrs
 
 from kingcupport.wire import message_codec
 
 
-@message_codec.peer_message(80)
+@message_codec.peer_message(82)
 @attrs.define
 class ViewRequest:
     """Requests the changes that are missing from the sender's view.
@@ -13,8 +16,8 @@
     Args:
         sender: Name of the sender.
         revision: Version of the sender's configuration.
-        content_revision: Revision of the last change of a server that the
-            sender knows.
+        content_revision: Qualified revision of the last change of a server
+            that the sender knows.
     """
 
     sender: str
@@ -22,7 +25,7 @@
     content_revision: int
 
 
-@message_codec.peer_message(81)
+@message_codec.peer_message(83)
 @attrs.define
 class ViewReply:
     """Answers a ViewRequest.
--- a/tests/flow_support.py
+++ b/tests/flow_support.py
@@ -26,6 +26,7 @@
         'is_draining': False,
         'boot_utc_ms': 1000,
         'is_cold': False,
+        'sequence': number,
         'revision': number,
     }
     values.update(changes)
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -13,6 +13,7 @@
 import gevent.pywsgi
 import gevent.socket
 
+from kingcupport.flows import store_revision
 from kingcupport.platform import packet_format
 
 SYN, ACK, FIN, RST, BOUNCED = 64, 16, 2, 1, 128
@@ -53,6 +54,10 @@
     def stop(self):
         self._server.stop(timeout=0)
 
+    @property
+    def qualified_revision(self):
+        return store_revision.qualify(self.era, self.revision)
+
     def put(self, key, value):
         self.revision += 1
         data = (
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -11,7 +11,7 @@
 
 @pytest.fixture
 def restored(harness):
-    """A harness whose balancers have read more revisions than the store has."""
+    """A harness whose balancers have read past the store's revision."""
     store = harness.store
     copy = store.take_copy()
     store.put_configuration(version=2)
--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -35,7 +35,7 @@
     assert update.is_full_read
     assert update.configuration.version == 3
     assert len(update.servers) == 5
-    assert update.revision == store.revision
+    assert update.revision == store.qualified_revision
 
 
 def test_changes_are_read_from_a_revision(store, source):
@@ -45,7 +45,7 @@
     store.remove('servers/i-1')
     update = source.read_changes(revision)
     assert [server.name for server in update.servers] == ['i-2']
-    assert update.removed == [('i-1', store.revision)]
+    assert update.removed == [('i-1', store.qualified_revision)]
     assert not update.is_full_read
 
 
@@ -90,7 +90,7 @@
     with pytest.raises(fleet_source.SourceError, match=str(status)):
         source.read_all()
     store.status = None
-    assert source.read_all().revision == store.revision
+    assert source.read_all().revision == store.qualified_revision
 
 
 def test_call_to_a_silent_store_times_out(store, source):
@@ -100,7 +100,7 @@
     with limit, pytest.raises(fleet_source.SourceError):
         source.read_all()
     store.is_silent = False
-    assert source.read_all().revision == store.revision
+    assert source.read_all().revision == store.qualified_revision
 
 
 class SlowLink:
