--- a/soak/soak_faults.py
+++ b/soak/soak_faults.py
@@ -105,6 +105,28 @@
         self.harness.store.status = None
 
 
+class RestoredStore(Fault):
+    """The store is away and comes back from an older copy."""
+
+    delays_changes = True
+    OUTAGE_MS = 500
+    # The operator and the servers write again within 2 s of the return.
+    MAX_REWRITE_DELAY_MS = 2_000
+
+    def inject(self, duration_ms):
+        """Implement ``Fault.inject``."""
+        store = self.harness.store
+        copy = store.take_copy()
+        gevent.sleep(duration_ms / 1000)
+        store.status = 503
+        gevent.sleep(self.OUTAGE_MS / 1000)
+        lost = store.restore(copy)
+        store.status = None
+        rewrite_delay_ms = self.rng.uniform(0, self.MAX_REWRITE_DELAY_MS)
+        gevent.sleep(rewrite_delay_ms / 1000)
+        store.write_again(lost)
+
+
 class RestartedServer(Fault):
     """A server loses its flows and returns with a later boot time."""
 
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -15,6 +15,7 @@
 CLIENT_COUNT = 12
 FAULT_WINDOW_MS = 10_000
 MAX_FAULT_COUNT = 9
+MAX_RESTORE_COUNT = 2
 MIN_FAULT_DURATION_MS = 200
 MAX_FAULT_DURATION_MS = 4_000
 START_TIMEOUT_MS = 30_000
@@ -133,6 +134,7 @@
             )
             for _ in range(count)
         ]
+        plan += self._plan_restores()
         tasks = [
             gevent.spawn_later(at_ms / 1000, self._inject, fault, duration_ms)
             for at_ms, duration_ms, fault in plan
@@ -143,6 +145,18 @@
             if task.exception is not None:
                 self._add_violation(f'fault: {task.exception}')
 
+    def _plan_restores(self):
+        # Drawn apart from the other faults, which stay those of the seed.
+        rng = random.Random(f'restores of {self.report.seed}')
+        return [
+            (
+                rng.uniform(0, FAULT_WINDOW_MS),
+                rng.uniform(MIN_FAULT_DURATION_MS, MAX_FAULT_DURATION_MS),
+                soak_faults.RestoredStore(self._harness, rng),
+            )
+            for _ in range(rng.randint(0, MAX_RESTORE_COUNT))
+        ]
+
     def _inject(self, fault, duration_ms):
         started_ms = self._clock.monotonic_ms()
         try:
@@ -229,9 +243,11 @@
         ):
             if fields.get('audit_kind') != kind:
                 continue
-            if int(value) < newest.get(subject, 0):
+            # A version, or a revision after the era of the store.
+            order = tuple(map(int, value.split(':')))
+            if order < newest.get(subject, ()):
                 self._add_violation(f'{ip} went back: {fields}')
-            newest[subject] = int(value)
+            newest[subject] = order
 
     def _add_violation(self, text):
         self.report.broken.append(text)
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -35,6 +35,7 @@
     def __init__(self):
         self.revision = 1
         self.era = 1
+        self.restored_revision = 0
         self.items = {}
         self.history = []
         self.oldest_kept_revision = 0
@@ -96,6 +97,7 @@
         lost = self.items
         self.revision, items, history = copy
         self.items, self.history = dict(items), list(history)
+        self.restored_revision = self.revision
         self.era += 1
         return {
             key: item
@@ -104,9 +106,16 @@
         }
 
     def write_again(self, lost):
-        """Write lost items again, as the operator and the servers do."""
+        """Write lost items again, as the operator and the servers do.
+
+        An item that was written since the restore is newer and stays.
+        """
         for key, item in lost.items():
-            self.put(key, base64.b64decode(item['value']))
+            current = self.items.get(key)
+            if current is None or (
+                current['revision'] <= self.restored_revision
+            ):
+                self.put(key, base64.b64decode(item['value']))
 
     def put_server(self, name, ip, port, service='gate', **changes):
         value = {
