--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -75,6 +75,57 @@
         source.read_changes(revision)
 
 
+def test_restore_between_two_pages_raises_history_lost_error(store, source):
+    store.page_size = 1
+    copy = store.take_copy()
+    for number in range(2):
+        store.put_server(f'i-{number}', f'10.0.0.{number}', 80)
+    answer_call = store._status_and_body
+
+    def restore_after_first_page(path, query):
+        answer = answer_call(path, query)
+        if 'after' in query and store.era == 1:
+            store.restore(copy)
+            store.put_server('i-1', '10.0.0.1', 80)
+            answer = answer_call(path, query)
+        return answer
+
+    store._status_and_body = restore_after_first_page
+    with pytest.raises(fleet_source.HistoryLostError):
+        source.read_all()
+    assert [server.name for server in source.read_all().servers] == ['i-1']
+
+
+def test_response_of_a_former_era_is_refused(store, source):
+    store.era = 4
+    revision = source.read_all().revision
+    store.era = 3
+    with pytest.raises(fleet_source.FormerEraError):
+        source.read_changes(revision)
+
+
+@pytest.mark.parametrize('era', ['', '-1', 'two', '1.0', '9' * 40, '40000'])
+def test_malformed_era_raises_and_the_next_call_succeeds(store, source, era):
+    store.era = era
+    with pytest.raises(fleet_source.SourceError):
+        source.read_all()
+    store.era = 2
+    assert source.read_all().revision == store.qualified_revision
+
+
+def test_removal_without_a_revision_names_no_server_to_use(store, source):
+    store.put_server('i-1', '10.0.0.1', 80)
+    revision = source.read_all().revision
+    store.remove('servers/i-1')
+    store.put_server('i-2', '10.0.0.2', 80)
+    store.history.append(
+        {'key': 'servers/i-2', 'revision': 2**60, 'removed': True}
+    )
+    update = source.read_changes(revision)
+    assert [name for name, _ in update.removed] == ['i-1']
+    assert update.invalid_names == ['i-2']
+
+
 def test_invalid_entries_are_skipped(store, source):
     store.put_server('i-1', '10.0.0.1', 80)
     store.put('servers/i-2', b'\xff\xfe')
