--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -218,7 +218,10 @@
         self._check_drains()
         for server in self._harness.servers.values():
             if server.foreign_flows:
-                self._add_violation(f'foreign flows at {server.name}')
+                self._add_violation(
+                    f'foreign flows at {server.name} (client, address, '
+                    f'flags): {server.foreign_flows[:3]}'
+                )
         for ip, process in self._harness.processes.items():
             if process.wait(0) is not None:
                 self._add_violation(f'{ip} has ended by itself')
--- a/soak/soak_server.py
+++ b/soak/soak_server.py
@@ -27,8 +27,13 @@
     def _handle(self, data):
         client, destination = platform_standin.read_ends(data)
         payload = data[platform_standin.HEADER :]
-        if destination != self._service_address:
-            self.foreign_flows.append((client, destination))
+        is_foreign = destination != self._service_address
+        # Agents that do not know their server's flows yet hand it later
+        # packets of any flow; it returns those of flows that it does not hold.
+        if is_foreign and (
+            data[0] == platform_standin.SYN or client in self.flows
+        ):
+            self.foreign_flows.append((client, destination, data[0]))
         if data[0] == platform_standin.SYN:
             self.opened_ms.setdefault(client, self._clock.monotonic_ms())
         first_sequence = self.flows.get(client)
