Reject store entries that cannot be encoded for peers

An entry of another writer with a number beyond 64 bits or half of a surrogate pair was taken into the view; msgpack cannot encode it, so every request of a peer for the view failed for as long as the entry was there, and only balancers that read the store themselves learned of changes.

--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from kingcupport.flows import flow_route
 from kingcupport.platform import store_entries
 
 SERVER = {
@@ -129,6 +130,50 @@
         decode_server(make_item({**SERVER, key: value}))
 
 
+@pytest.mark.parametrize(
+    ('key', 'value'),
+    [
+        ('seq_no', 2**64),
+        ('born', -(2**64)),
+        ('slots', 10**30),
+        ('zone', '\ud800'),
+        ('service', 'gate\udfff'),
+    ],
+)
+def test_server_that_no_peer_could_be_told_of_is_rejected(key, value):
+    with pytest.raises(store_entries.EntryError):
+        decode_server(make_item({**SERVER, key: value}))
+
+
+@pytest.mark.parametrize(
+    ('key', 'value'),
+    [('config_version', 2**64), ('limits', {'idle_timeout_ms': 2**64})],
+)
+def test_configuration_with_huge_numbers_can_be_sent_or_is_rejected(
+    key, value
+):
+    item = make_item({**CONFIGURATION, key: value}, 'op/config')
+    try:
+        configuration = store_entries.decode_configuration(item)
+    except store_entries.EntryError:
+        return
+    assert flow_route.encode_configuration(configuration)
+
+
+@pytest.mark.parametrize('key', ['timeout_ms', 'name', 'host', 'service'])
+def test_route_that_no_peer_could_be_told_of_is_rejected_or_bounded(key):
+    value = 2**64 if key == 'timeout_ms' else '\ud800'
+    route = {**CONFIGURATION['routes'][0], key: value}
+    route.pop('weighted_services', None)
+    route.setdefault('service', 'gate')
+    item = make_item({**CONFIGURATION, 'routes': [route]}, 'op/config')
+    try:
+        configuration = store_entries.decode_configuration(item)
+    except store_entries.EntryError:
+        return
+    assert flow_route.encode_configuration(configuration)
+
+
 @pytest.mark.parametrize(
     'key', sorted(SERVER.keys() - {'born', 'config_version'})
 )
