--- a/tests/flow_support.py
+++ b/tests/flow_support.py
@@ -4,6 +4,7 @@
 
 from kingcupport.flows import flow_route
 from kingcupport.flows import flow_server
+from kingcupport.flows import store_revision
 from kingcupport.standins import plain_flow_format
 
 GATE = ('198.18.0.1', 443)
@@ -33,6 +34,16 @@
     return flow_server.FlowServer(**values)
 
 
+def make_entry(number, era, revision, sequence, **changes):
+    """Return a server as the store has it at a revision of an era."""
+    return make_server(
+        number,
+        revision=store_revision.qualify(era, revision),
+        sequence=sequence,
+        **changes,
+    )
+
+
 def make_configuration(
     version=1,
     addresses=((GATE, 'gate'), (AUDIO, 'audio')),
