--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -105,10 +105,16 @@
         return flow
 
     def send(self, raw, source, destination):
-        """Send a packet to the balancer that the router selects."""
+        """Send a packet to the balancer that the router selects.
+
+        Returns:
+            The address of the balancer, or None.
+        """
         balancer = self.fleet.router.choose(source, destination)
-        if balancer is not None:
-            self._transport.sendto(raw, balancer)
+        if balancer is None or self._transport.is_closing():
+            return None
+        self._transport.sendto(raw, balancer)
+        return balancer[0]
 
     def _on_datagram(self, raw, _source):
         packet = packets.parse(raw)
@@ -129,6 +135,7 @@
     Attributes:
         state: ``opening``, ``open``, ``reset``, ``failed`` or ``closed``.
         system_reset_s: When a reset of the system ended the open flow.
+        opening_ips: Balancers that got a copy of the opening packet.
     """
 
     def __init__(self, machine, source, destination):
@@ -137,6 +144,7 @@
         self.destination = destination
         self.state = 'opening'
         self.system_reset_s = None
+        self.opening_ips = set()
         self.opened_s = None
         self.last_packet_s = time.monotonic()
         self._seq = random.getrandbits(32)
@@ -156,7 +164,8 @@
             raw = packets.make(
                 packets.SYN, self.source, self.destination, syn_sequence, copy
             )
-            self.machine.send(raw, self.source, self.destination)
+            ip = self.machine.send(raw, self.source, self.destination)
+            self.opening_ips.add(ip)
         await self._wait(first_s + OPEN_TIMEOUT_S)
         if self.state == 'opening':
             self.state = 'failed'
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -180,7 +180,7 @@
 
     async def start_store(self):
         """Start the store and the router."""
-        await self.store.start([self.store_address(n) for n in (1, 2, 3, 4)])
+        await self.store.start([self.store_address(n) for n in range(1, 9)])
         self._router_task = asyncio.create_task(self.router.run())
 
     async def wait_ready(self, timeout_s=15):
--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -55,6 +55,8 @@
         # ids of the requests that were run, in order.
         self.runs = []
         self.resets = []
+        # Called with the client's end of each flow that opens here.
+        self.on_open = lambda source: None
         self.forged = []
         self.opened_count = 0
         self.born = int(time.time() * 1000)
@@ -160,6 +162,7 @@
         if flow.opened_s is None:
             flow.opened_s = time.monotonic()
             self.opened_count += 1
+            self.on_open(packet.source)
         flow.unacknowledged = [
             (end, raw)
             for end, raw in flow.unacknowledged
@@ -246,7 +249,8 @@
         self._transmit(packets.make(flags, own, client, seq, flow.client_next))
 
     def _transmit(self, raw):
-        self._transport.sendto(raw, (self.ip, self._ports['outbound']))
+        if not self._transport.is_closing():
+            self._transport.sendto(raw, (self.ip, self._ports['outbound']))
 
 
 class _Protocol(asyncio.DatagramProtocol):
--- a/review/standins/load.py
+++ b/review/standins/load.py
@@ -98,6 +98,13 @@
         await asyncio.sleep(1)
         flow.machine.flows.pop(flow.source, None)
 
+    def flow_of(self, source):
+        """Return the flow of a client's end, or None."""
+        for machine in self.fleet.clients:
+            if source in machine.flows:
+                return machine.flows[source]
+        return None
+
     def summary(self):
         """Return one line with the counts."""
         return (
