--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,7 +44,7 @@
     await fleet.publish(
         {
             fleet_module.SERVICE_ADDRESS: 'billetterie',
-            ('198.18.0.2', 8443): 'guide-sonore',
+            ('127.251.0.2', 8443): 'guide-sonore',
         }
     )
     hosts = [
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -16,7 +16,7 @@
 from standins import store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-SERVICE_ADDRESS = ('198.18.0.1', 8443)
+SERVICE_ADDRESS = ('127.251.0.1', 8443)
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 PORT_NAMES = ('packets', 'ready', 'outbound', 'app', 'control', 'peers')
 
--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -40,9 +40,20 @@
         ip: Address of its machine.
         slots: Requests that it runs at the same time.
         work_s: Time that a request takes.
+        is_reporting: Whether it reports to the store from the start.
     """
 
-    def __init__(self, fleet, name, service, ip, *, slots=1, work_s=0.013):
+    def __init__(
+        self,
+        fleet,
+        name,
+        service,
+        ip,
+        *,
+        slots=1,
+        work_s=0.013,
+        is_reporting=True,
+    ):
         self.fleet = fleet
         self.name = name
         self.service = service
@@ -50,7 +61,7 @@
         self.slots = slots
         self.work_s = work_s
         self.state = 'ready'
-        self.is_reporting = True
+        self.is_reporting = is_reporting
         self.flows = {}
         # ids of the requests that were run, in order.
         self.runs = []
