--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -246,12 +246,21 @@
             self._send_to_balancer(flow_datagrams.encode(result), balancer)
 
     def _decline_reason(self, envelope, packet):
-        if envelope.service not in ('', self._settings.service):
-            return flow_datagrams.DeclineReason.OTHER_SERVICE
+        is_other_service = envelope.service not in (
+            '',
+            self._settings.service,
+        )
         if not packet.is_open:
-            if self.held_flows.is_other_flow(packet):
-                return flow_datagrams.DeclineReason.NOT_HELD
-            return None
+            # A flow stays at its server, whatever service the balancer's view
+            # gives to the address.
+            is_denied = self.held_flows.is_other_flow(packet) or (
+                is_other_service
+                and self.held_flows.holding(packet.flow, packet.acknowledged)
+                == flow_datagrams.Holding.NO
+            )
+            return flow_datagrams.DeclineReason.NOT_HELD if is_denied else None
+        if is_other_service:
+            return flow_datagrams.DeclineReason.OTHER_SERVICE
         if self.held_flows.get(packet.flow) is not None:
             return None
         if self.is_leaving or self.held_flows.is_silent:
--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -192,6 +192,14 @@
         )
         if kind == 'server_changed':
             self.sync.greet_agents_now([fields['ip']])
+        elif kind == 'configuration_accepted':
+            # A new route may be the first of a service that has servers.
+            loads = self.data_path.loads
+            self.sync.greet_agents_now(
+                ip
+                for ip in self.data_path.agent_ips
+                if loads.get(ip).reported_ms is None
+            )
         self._update_ready()
 
     def _update_ready(self):
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -125,10 +125,10 @@
         elif entry is None:
             self.finder.find(packet, data)
         elif self._index.is_replaced(entry):
+            # The address is listed for another server, which does not show
+            # that the server of the flow has left.
             self.table.forget(packet.flow)
-            self._refusals.reset(
-                packet, 'server was replaced', entry.server_name
-            )
+            self.finder.find(packet, data)
         else:
             if not entry.is_accepted:
                 # The client has got a server's answer to its opening packet,
@@ -233,13 +233,17 @@
                 self.finder.end(packet.flow)
                 self._refusals.reset(packet, 'server has lost the flow', ip)
             return
-        if self.finder.on_not_held(ip, packet.flow):
+        # Only NOT_HELD says that the server does not hold the flow.
+        is_denied = reason == flow_datagrams.DeclineReason.NOT_HELD
+        if is_denied and self.finder.on_not_held(ip, packet.flow):
             return
         if entry is not None and not is_current:
             self._forward(entry, decline.packet_data)
             return
         self.table.forget(packet.flow)
-        self.finder.find(packet, decline.packet_data, answered=(ip,))
+        self.finder.find(
+            packet, decline.packet_data, answered=(ip,) if is_denied else ()
+        )
 
     def _on_report(self, ip, report):
         load = self.loads.get(ip)
--- a/packages/balancer/src/kingcupport/balancer/server_index.py
+++ b/packages/balancer/src/kingcupport/balancer/server_index.py
@@ -4,6 +4,9 @@
 class ServerIndex:
     """Servers by address and by service, updated on each change of the view.
 
+    The entries of services that the configuration in force does not name are
+    left out: they may come from another writer.
+
     Args:
         clock: Clock.
         view: FleetView.
@@ -20,6 +23,7 @@
         self._max_flow_ms = max_flow_ms
         self.by_ip = {}
         self.by_service = {}
+        self._listed_names = frozenset()
         self._removed_ms = {}
         self._known_ips = frozenset()
         view.on_change(self._on_view_change)
@@ -58,12 +62,12 @@
         self._update_known_ips()
 
     def is_listed(self, entry):
-        """Whether the view lists the server of a flow.
+        """Whether the server of a flow is in the index.
 
         Args:
             entry: FlowEntry.
         """
-        return entry.server_name in self._view.servers
+        return entry.server_name in self._listed_names
 
     def is_replaced(self, entry):
         """Whether another server now uses the address of a flow's server.
@@ -79,16 +83,21 @@
             and not self.is_listed(entry)
         )
 
-    def _on_view_change(self, kind, _fields):
-        if kind == 'configuration_accepted':
-            return
-        servers = sorted(self._view.servers.values(), key=_start_order)
+    def _on_view_change(self, _kind, _fields):
+        services = self._view.configuration.service_names
+        servers = sorted(
+            (s for s in self._view.servers.values() if s.service in services),
+            key=_start_order,
+        )
         previous_ips = set(self.by_ip)
+        self._listed_names = frozenset(server.name for server in servers)
         self.by_ip = {server.ip: server for server in servers}
+        # An entry of one service does not hide that of another at the same
+        # address; the agent there accepts flows of its own service only.
+        latest = {(server.ip, server.service): server for server in servers}
         self.by_service = {}
-        for server in servers:
-            if self.by_ip[server.ip] is server:
-                self.by_service.setdefault(server.service, []).append(server)
+        for server in latest.values():
+            self.by_service.setdefault(server.service, []).append(server)
         now_ms = self._clock.monotonic_ms()
         for ip in previous_ips - set(self.by_ip):
             self._removed_ms[ip] = now_ms
--- a/packages/flows/src/kingcupport/flows/flow_route.py
+++ b/packages/flows/src/kingcupport/flows/flow_route.py
@@ -1,5 +1,6 @@
 """Routes from public addresses to services."""
 
+import functools
 import zlib
 
 import attrs
@@ -78,6 +79,15 @@
     routes: dict
     idle_timeout_ms: int = 60_000
 
+    @functools.cached_property
+    def service_names(self):
+        """Names of all services that a route may use, as a frozenset."""
+        return frozenset(
+            name
+            for route in self.routes.values()
+            for name, _ in route.services
+        )
+
 
 # Types of the fields of an encoded route but for its services.
 _ROUTE_TYPES = (str, str, int, bool, int, int, int)
--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -259,7 +259,7 @@
             return held, flow_datagrams.DeclineReason.UNAVAILABLE
         reason = (
             flow_datagrams.DeclineReason.ENDED
-            if held.is_held
+            if held.server_sequence is not None
             and self._matches_server_sequence(held, packet.acknowledged)
             else flow_datagrams.DeclineReason.NOT_HELD
         )
--- a/tests/agent/test_flow_data_path.py
+++ b/tests/agent/test_flow_data_path.py
@@ -185,6 +185,34 @@
     assert decline.reason == flow_datagrams.DeclineReason.OTHER_SERVICE
 
 
+@pytest.mark.parametrize('is_first_start', [True, False])
+def test_open_flow_is_kept_whatever_service_its_balancer_names(is_first_start):
+    """Guards review/1: the service came from another writer's entry."""
+    agent = Agent(is_first_start=is_first_start)
+    agent.deliver(FORMAT.make(FLOW, flags=flow_support.OPEN))
+    agent.server(
+        FORMAT.make(
+            FLOW,
+            from_client=False,
+            flags=flow_support.OPEN_ANSWER,
+            sequence=100,
+        )
+    )
+    agent.to_server.clear()
+    data = FORMAT.make(FLOW, acknowledged=101, data=b'x')
+    agent.deliver(data, service='printing')
+    assert agent.to_server == [data]
+    assert not agent.sent(flow_datagrams.FlowDecline)
+
+
+def test_unknown_flow_of_another_service_is_denied_without_the_server(agent):
+    data = FORMAT.make(FLOW, acknowledged=101, data=b'x')
+    agent.deliver(data, service='audio')
+    assert not agent.to_server
+    (decline,) = agent.sent(flow_datagrams.FlowDecline)
+    assert decline.reason == flow_datagrams.DeclineReason.NOT_HELD
+
+
 def test_a_busy_server_gives_opening_packets_back(agent):
     agent.deliver(FORMAT.make(FLOW, flags=flow_support.OPEN), slot_limit=1)
     other = FORMAT.make(flow_support.make_flow(2), flags=flow_support.OPEN)
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -227,7 +227,8 @@
     assert ip not in search.agent_ips
 
 
-def test_a_flow_of_a_server_whose_address_was_reused_is_reset(balancer):
+def test_a_flow_of_a_server_whose_address_was_reused_is_searched(balancer):
+    """It is reset when no server holds it, and never sent to the new one."""
     _, ip = balancer.open(FLOW)
     balancer.status(ip, FLOW, flow_datagrams.Holding.YES)
     number = int(ip.rpartition('.')[2])
@@ -236,10 +237,25 @@
     )
     balancer.read()
     balancer.client(FLOW, acknowledged=5, data=b'x')
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert ip in search.agent_ips
+    assert not balancer.resets()
+    balancer.result(search)
     assert not balancer.sent()
     assert len(balancer.resets()) == 1
 
 
+def test_a_decline_for_another_service_does_not_deny_the_flow(balancer):
+    """Guards review/1: the view may give a wrong service to an address."""
+    _, ip = balancer.open(FLOW)
+    balancer.status(ip, FLOW, flow_datagrams.Holding.YES)
+    data = balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.sent()
+    balancer.decline(ip, data, flow_datagrams.DeclineReason.OTHER_SERVICE)
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert ip in search.agent_ips
+
+
 def test_an_unknown_route_is_refused_with_a_fresh_view_only(balancer):
     flow = flow_support.make_flow(1, ('198.18.0.9', 1))
     balancer.client(flow, flow_support.OPEN)
--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -1,6 +1,7 @@
 """Simulates fleets that lose their flows and checks what clients are told."""
 
 import flow_fleet_simulation
+import flow_support
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -122,6 +123,37 @@
     assert served >= 2 * len(requests)
 
 
+@pytest.mark.parametrize('service', ['gate', 'audio', 'printing'])
+def test_flows_survive_entries_of_another_writer(service):
+    """Guards review/1: such entries have later starts at all addresses."""
+    fleet, requests = make_fleet(6, 60, balancers=3, servers=6)
+    fleet.odd_entries = [
+        flow_support.make_server(
+            100 + number,
+            service,
+            ip=node.ip,
+            boot_utc_ms=9_000,
+            revision=20,
+        )
+        for number, node in enumerate(fleet.nodes)
+    ]
+    fleet.balancers[0].start()
+    for balancer in fleet.balancers[1:]:
+        balancer.read()
+    fleet.greet()
+    fleet.run(10)
+    for entries in ([], fleet.odd_entries):
+        for request in requests:
+            fleet.send_again(request)
+        fleet.run(2_000)
+        assert not any(request.reset_ms for request in requests)
+        assert all(request.answered_ms is not None for request in requests)
+        # The entries end, and the addresses belong to their servers again.
+        fleet.odd_entries = entries
+        for balancer in fleet.balancers:
+            balancer.read(revision=30)
+
+
 def test_a_lost_flow_is_searched_once_while_its_client_retransmits():
     """A silent agent keeps the search open; the others are not asked again."""
     fleet, requests = make_fleet(4, 20, balancers=2, servers=10)
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -206,15 +206,18 @@
     def stop(self):
         self.path = None
 
-    def read(self):
+    def read(self, revision=10):
         update = fleet_source.FleetUpdate(
-            10,
+            revision,
             True,
             configuration=flow_support.make_configuration(
                 target_ms=self._fleet.target_ms,
                 timeout_ms=self._fleet.timeout_ms,
             ),
-            servers=[node.entry for node in self._fleet.nodes],
+            servers=[
+                *(node.entry for node in self._fleet.nodes),
+                *self._fleet.odd_entries,
+            ],
         )
         self._view.apply_update(update, self._fleet.clock.monotonic_ms())
 
@@ -305,6 +308,7 @@
 
     Attributes:
         messages: Number of datagrams between balancers and agents, by class.
+        odd_entries: FlowServer objects of another writer.
         requests: SimulatedRequest by flow.
         untrue_resets: SimulatedRequest objects whose open flow was reset while
             its server held it.
@@ -323,6 +327,7 @@
         loss=0.0,
     ):
         self.loss = loss
+        self.odd_entries = []
         self.timeout_ms = timeout_ms
         self.clock = flow_support.make_clock()
         self.rng = random.Random(seed)
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -73,7 +73,7 @@
 
 
 def decode_server(item):
-    return store_entries.decode_server(item, frozenset())
+    return store_entries.decode_server(item)
 
 
 def test_decode_server():
