--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -176,6 +176,7 @@
         return {
             'flows': len(held_flows),
             'flows_open': held_flows.open_count,
+            'flows_evicted_open': held_flows.evicted_open_count,
             'requests_running': held_flows.running,
             'answers_failing_percent': held_flows.failing_percent(),
         }
--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -8,7 +8,7 @@
 from kingcupport.wire import flow_datagrams
 
 # A server holds at most 2,000 connections; the remainder is for flows that
-# ended without a packet.
+# have ended, which are evicted first.
 MAX_HELD_FLOWS = 4_096
 # The failure rate covers the latest answers, up to this number and age. The
 # age limit lets a server that gets few requests be tried again.
@@ -57,6 +57,7 @@
             before the head.
         is_held: Whether the server has sent a packet for the flow.
         is_closed: Whether the server has closed its side or reset the flow.
+        is_client_closed: Whether the client has closed its side.
         request_id: Id of the latest request, or None.
         opening_data: Bytes of the opening packet until it is accepted.
         client_end_sequence: Sequence number after the client's last byte; None
@@ -73,6 +74,7 @@
     unanswered_since_ms: float | None = None
     is_held: bool = False
     is_closed: bool = False
+    is_client_closed: bool = False
     request_id: str | None = None
     opening_data: bytes = b''
     client_end_sequence: int | None = None
@@ -81,6 +83,11 @@
 class HeldFlows:
     """The flows of the server, its running requests and its failure rate.
 
+    A full table evicts the flows that have ended or that the server has not
+    accepted. If it has to evict an open one, the table no longer shows which
+    flows the server does not hold, until that flow has reached its maximum
+    age.
+
     Args:
         clock: Clock.
         max_age_ms: Age at which a flow may be dropped.
@@ -89,6 +96,7 @@
         capacity: Maximum number of flows.
 
     Attributes:
+        evicted_open_count: Number of open flows that were evicted.
         is_silent: Whether the server has stopped answering; set by the owner
             and cleared by any packet of the server.
     """
@@ -103,6 +111,9 @@
             0.0 if is_complete else clock.monotonic_ms() + max_age_ms
         )
         self._flows = collections.OrderedDict()
+        # Flows that the server need not be asked about, oldest first.
+        self._evictable = collections.OrderedDict()
+        self.evicted_open_count = 0
         # Start times by flow, oldest first: flows that wait for a request, and
         # requests that wait for an answer.
         self._awaiting_request = {}
@@ -178,11 +189,16 @@
         """
         now_ms = self._clock.monotonic_ms()
         held = self._flows.get(packet.flow)
-        if held is None or (packet.is_open and held.is_closed):
+        if held is None or (
+            packet.is_open and held.is_closed and held.is_client_closed
+        ):
             held = HeldFlow(balancer, now_ms, now_ms)
             self._add(packet.flow, held)
         held.balancer = balancer
         held.last_packet_ms = now_ms
+        if packet.is_close or packet.is_reset:
+            held.is_client_closed = True
+            self._update_evictable(packet.flow, held)
         if packet.is_open and held.server_sequence is None:
             held.opening_data = data
             self._opening.setdefault(
@@ -217,6 +233,14 @@
             # The flow was opened before the agent started.
             held = HeldFlow(None, now_ms, now_ms)
             self._add(packet.flow, held)
+        elif (
+            packet.is_open_answer
+            and held.server_sequence is not None
+            and packet.sequence != held.server_sequence
+        ):
+            # The client uses the port of an earlier flow again.
+            held = HeldFlow(held.balancer, now_ms, now_ms)
+            self._add(packet.flow, held)
         held.last_packet_ms = now_ms
         was_held = held.is_held
         held.is_held = True
@@ -226,6 +250,9 @@
         took_ms = self._record_answer(held, packet, status, now_ms)
         if packet.is_close or packet.is_reset:
             held.is_closed = True
+        if packet.is_reset:
+            held.is_client_closed = True
+        self._update_evictable(packet.flow, held)
         if packet.data_bytes or held.is_closed:
             self._finish_request(packet.flow, held)
         return held, not was_held, took_ms
@@ -255,7 +282,9 @@
             return None, flow_datagrams.DeclineReason.NOT_HELD
         self._opening.pop(packet.flow, None)
         if packet.is_open:
-            self.forget(packet.flow)
+            # A late copy of the opening packet does not end an open flow.
+            if not held.is_held:
+                self.forget(packet.flow)
             return held, flow_datagrams.DeclineReason.UNAVAILABLE
         reason = (
             flow_datagrams.DeclineReason.ENDED
@@ -319,6 +348,7 @@
         """Remove a flow, if it is known."""
         held = self._flows.pop(flow, None)
         self._opening.pop(flow, None)
+        self._evictable.pop(flow, None)
         if held is not None:
             self._finish_request(flow, held)
 
@@ -341,9 +371,27 @@
 
     def _add(self, flow, held):
         self.forget(flow)
+        if len(self._flows) >= self._capacity:
+            self._evict()
         self._flows[flow] = held
-        if len(self._flows) > self._capacity:
-            self.forget(next(iter(self._flows)))
+        self._update_evictable(flow, held)
+
+    def _update_evictable(self, flow, held):
+        if not held.is_held or (held.is_closed and held.is_client_closed):
+            self._evictable[flow] = None
+        else:
+            self._evictable.pop(flow, None)
+
+    def _evict(self):
+        if self._evictable:
+            self.forget(next(iter(self._evictable)))
+            return
+        flow, held = next(iter(self._flows.items()))
+        self.forget(flow)
+        self.evicted_open_count += 1
+        self._complete_from_ms = max(
+            self._complete_from_ms, held.opened_ms + self._max_age_ms
+        )
 
     def _carries_new_data(self, held, packet):
         end = (packet.sequence + packet.data_bytes) % _SEQUENCE_MODULUS
--- a/tests/flows/test_held_flows.py
+++ b/tests/flows/test_held_flows.py
@@ -14,10 +14,13 @@
 class AgentHarness:
     """The flows of one server, with methods that pass packets through."""
 
-    def __init__(self, is_complete=True):
+    def __init__(self, is_complete=True, capacity=held_flows.MAX_HELD_FLOWS):
         self.clock = flow_support.make_clock()
-        self.held = held_flows.make_held_flows(
-            self.clock, MAX_AGE_MS, is_complete=is_complete
+        self.held = held_flows.HeldFlows(
+            self.clock,
+            MAX_AGE_MS,
+            is_complete=is_complete,
+            capacity=capacity,
         )
 
     def client(self, flow, flags=0, **fields):
@@ -159,6 +162,82 @@
     assert held.running == 4
 
 
+def close(agent, flow):
+    agent.client(flow, flow_support.CLOSE, acknowledged=101)
+    agent.server(flow, flow_support.CLOSE, sequence=101)
+
+
+def test_a_full_table_keeps_the_open_flows():
+    """Guards review/2: ended flows displaced open ones, which were denied."""
+    agent = AgentHarness(capacity=8)
+    kept = [flow_support.make_flow(number) for number in range(4)]
+    for flow in kept:
+        agent.accept(flow)
+    for number in range(10, 60):
+        flow = flow_support.make_flow(number)
+        agent.run(flow)
+        close(agent, flow)
+    for flow in kept:
+        holding = agent.held.holding(flow, 101)
+        assert holding == flow_datagrams.Holding.YES
+    unknown = flow_support.make_flow(99)
+    assert agent.held.holding(unknown, 1) == flow_datagrams.Holding.NO
+
+
+def test_a_table_full_of_open_flows_denies_none():
+    """Guards review/2: what a full table has lost is not known."""
+    agent = AgentHarness(capacity=8)
+    flows = [flow_support.make_flow(number) for number in range(12)]
+    for flow in flows:
+        agent.clock.advance(10)
+        agent.accept(flow)
+    assert len(agent.held) == 8
+    assert agent.held.evicted_open_count == 4
+    holdings = [agent.held.holding(flow, 101) for flow in flows]
+    assert set(holdings[:4]) == {flow_datagrams.Holding.UNKNOWN}
+    assert set(holdings[4:]) == {flow_datagrams.Holding.YES}
+    # The evicted flows have reached their maximum age.
+    agent.clock.advance(MAX_AGE_MS)
+    assert agent.held.holding(flows[0], 101) == flow_datagrams.Holding.NO
+
+
+@pytest.mark.parametrize('closes', ['client', 'server'])
+def test_a_full_table_keeps_flows_that_one_side_has_closed(closes):
+    agent = AgentHarness(capacity=8)
+    half_closed = flow_support.make_flow(1)
+    agent.accept(half_closed)
+    if closes == 'client':
+        agent.client(half_closed, flow_support.CLOSE, acknowledged=101)
+    else:
+        agent.server(half_closed, flow_support.CLOSE, sequence=101)
+    for number in range(10, 40):
+        flow = flow_support.make_flow(number)
+        agent.accept(flow)
+        close(agent, flow)
+    holding = agent.held.holding(half_closed, 101)
+    assert holding == flow_datagrams.Holding.YES
+
+
+def test_a_late_copy_of_an_opening_packet_ends_no_half_closed_flow(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow)
+    agent.server(flow, flow_support.CLOSE, sequence=101)
+    agent.client(flow, flow_support.OPEN)
+    assert agent.held.holding(flow, 101) == flow_datagrams.Holding.YES
+    # The server takes it for a new flow of the same port.
+    agent.server(flow, flow_support.OPEN_ANSWER, sequence=9_000)
+    assert agent.held.holding(flow, 9_001) == flow_datagrams.Holding.YES
+    assert agent.held.holding(flow, 101) == flow_datagrams.Holding.NO
+
+
+def test_a_returned_copy_of_an_opening_packet_ends_no_open_flow(agent):
+    flow = flow_support.make_flow(1)
+    agent.accept(flow)
+    agent.client(flow, flow_support.OPEN)
+    agent.return_packet(flow, flow_support.OPEN)
+    assert agent.held.holding(flow, 101) == flow_datagrams.Holding.YES
+
+
 def test_a_flow_without_a_request_stops_counting_as_running(agent):
     agent.accept(flow_support.make_flow(1))
     assert agent.held.running == 1
