--- a/packages/balancer/src/kingcupport/balancer/flow_refusals.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_refusals.py
@@ -30,6 +30,10 @@
         age_ms = self._view.age_ms()
         return age_ms is not None and age_ms <= MAX_FRESH_VIEW_AGE_MS
 
+    def is_view_complete(self):
+        """Whether a fresh view lists every server that may hold flows."""
+        return self.has_fresh_view() and self._view.is_complete
+
     def refuse(self, packet, reason, service, **inputs):
         """Refuse a flow with a reset and count it as refused.
 
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -37,8 +37,9 @@
     """Reads the store as scheduled and exchanges views with peers.
 
     Balancers greet each other with the revisions of their views. A balancer
-    whose view is older pulls the difference; one whose view is equal takes
-    over the confirmation.
+    whose view is older pulls the difference; one whose view has the same
+    contents takes over the confirmation. Equal revisions alone do not show
+    that: of two views, one may have read the store while entries were missing.
 
     Args:
         settings: FlowBalancerSettings.
@@ -264,8 +265,10 @@
             self._settings.name,
             self._view.configuration.version,
             self._view.content_revision,
+            self._view.digest,
             self._view.read_revision,
             -1 if age_ms is None else int(age_ms),
+            self._view.is_complete,
             self._schedule.is_reading,
             self.is_leaving,
             wants_reply,
@@ -321,18 +324,27 @@
             greeting.confirmed_age_ms >= 0
             and greeting.configuration_version == view.configuration.version
             and greeting.content_revision == view.content_revision
+            and greeting.content_digest == view.digest
         ):
             view.confirm(
-                now_ms - greeting.confirmed_age_ms, greeting.read_revision
+                now_ms - greeting.confirmed_age_ms,
+                greeting.read_revision,
+                is_complete=greeting.is_complete,
             )
 
     def run_puller(self):
         """Pull views from peers that are ahead; never returns."""
         while True:
             self._pull_requested.wait()
-            self._pull_requested.clear()
-            if self._pull(self._pull_ip):
-                self._announce_view(to_all=False)
+            self.pull_if_requested()
+
+    def pull_if_requested(self):
+        """Pull the view of the peer that was last seen to be ahead."""
+        if not self._pull_requested.is_set():
+            return
+        self._pull_requested.clear()
+        if self._pull(self._pull_ip):
+            self._announce_view(to_all=False)
 
     def _forget_silent_peers(self):
         now_ms = self._clock.monotonic_ms()
--- a/packages/balancer/src/kingcupport/balancer/holder_finder.py
+++ b/packages/balancer/src/kingcupport/balancer/holder_finder.py
@@ -184,8 +184,10 @@
         possible_ips = known_ips - search.ruled_out - self._left_ips()
         if possible_ips:
             self._refusals.drop(search.flow, 'holder not found')
-        elif not self._refusals.has_fresh_view():
-            self._refusals.drop(search.flow, 'no holder, and the view is old')
+        elif not self._refusals.is_view_complete():
+            self._refusals.drop(
+                search.flow, 'no holder, and the view is not complete'
+            )
         else:
             # Shared by all searches that have ended like this.
             search.ruled_out = known_ips
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -6,6 +6,8 @@
 import collections
 
 import attrs
+import msgpack
+import xxhash
 
 from kingcupport.flows import fleet_source
 from kingcupport.flows import flow_route
@@ -21,8 +23,8 @@
 # Servers whose entries expired during an outage of the source register again
 # within about 2,000 ms of its recovery.
 REREGISTRATION_GRACE_MS = 2_000
-# Time for the last reports and expiries to arrive before a view takes every
-# entry of a restored store as it is.
+# Time for the last reports and expiries to arrive before a view counts as
+# complete, or takes every entry of a restored store as it is.
 SETTLING_MARGIN_MS = 500
 
 
@@ -50,6 +52,11 @@
     that its server wrote later, and missing servers are kept. Afterwards the
     view settles: it takes the entries of one full read as they are.
 
+    Entries are also missing for a while after an outage of the store, and a
+    view that has just started cannot tell whether there was one. Until they
+    are back, the view is not complete: that it does not list a server says
+    nothing about the server's flows.
+
     Args:
         clock: Clock.
         server_expiry_ms: Time after which the store drops the entry of a
@@ -63,6 +70,8 @@
         read_revision: Revision of the store up to which the view is complete.
         confirmed_ms: When the store last confirmed the view, on the monotonic
             clock; None before the first time.
+        complete_ms: When the view was last known to list every server that may
+            hold flows, on the monotonic clock; None before the first time.
         settle_due_ms: When the view has to be read in full to settle after a
             restore, on the monotonic clock; None if it is settled.
     """
@@ -79,12 +88,17 @@
         self.content_revision = 0
         self.read_revision = 0
         self.confirmed_ms = None
+        self.complete_ms = None
         # Made when the first peer asks for the configuration.
         self._encoded = None
+        # Made when it is asked for after a change.
+        self._digest = None
         self._tombstones = collections.OrderedDict()
         self._oldest_tombstone_revision = 0
         self._pending_removals = {}
         self._grace_end_ms = 0.0
+        self._complete_from_ms = 0.0
+        self._await_missing_entries(clock.monotonic_ms())
         self._callbacks = []
 
     def on_change(self, callback):
@@ -101,6 +115,31 @@
         """Whether a configuration and at least one server are known."""
         return self.configuration.version > 0 and bool(self.servers)
 
+    @property
+    def is_complete(self):
+        """Whether the latest confirmation found the view complete."""
+        return (
+            self.complete_ms is not None
+            and self.complete_ms >= self.confirmed_ms
+        )
+
+    @property
+    def digest(self):
+        """Hash of the servers and of the removals that are put off.
+
+        Two views of the same content revision may list other servers: a view
+        that started later lacks those whose entries were missing then.
+        """
+        if self._digest is None:
+            rows = [
+                flow_server.contents_to_plain(server)
+                for _, server in sorted(self.servers.items())
+            ]
+            self._digest = xxhash.xxh3_64_intdigest(
+                msgpack.packb([rows, sorted(self._pending_removals)])
+            )
+        return self._digest
+
     def age_ms(self):
         """Return the time since the store last confirmed the view.
 
@@ -154,6 +193,7 @@
         if update.is_full_read:
             self._remove_missing(update)
         self._apply_due_removals()
+        self._digest = None
         self.confirm(started_ms, update.revision)
         return before != (self.configuration.version, self.content_revision)
 
@@ -197,6 +237,7 @@
             self._put(server, server.revision)
         for name, removed_revision in removed:
             self._remove(name, removed_revision)
+        self._digest = None
         self.content_revision = max(self.content_revision, revision)
 
     def difference_since(self, version, revision):
@@ -227,17 +268,34 @@
             self._encoded = flow_route.encode_configuration(self.configuration)
         return self._encoded
 
-    def confirm(self, confirmed_ms, read_revision):
+    def confirm(self, confirmed_ms, read_revision, *, is_complete=False):
         """Record that the view matched the store.
 
         Args:
             confirmed_ms: When it matched, on the monotonic clock.
             read_revision: Revision of the store at that time.
+            is_complete: Whether a peer has found that the store had the
+                entries of all servers that may hold flows.
         """
         self._enter_era(store_revision.era_of(read_revision))
         self.read_revision = max(self.read_revision, read_revision)
-        if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
-            self.confirmed_ms = confirmed_ms
+        if not is_complete and (
+            self.confirmed_ms is None
+            or confirmed_ms - self.confirmed_ms > MIN_OUTAGE_MS
+        ):
+            self._await_missing_entries(confirmed_ms)
+        if is_complete:
+            # A peer that has followed the store for longer knows of no
+            # missing entry.
+            self._complete_from_ms = min(self._complete_from_ms, confirmed_ms)
+        if self.confirmed_ms is not None and confirmed_ms <= self.confirmed_ms:
+            return
+        self.confirmed_ms = confirmed_ms
+        if (
+            self.settle_due_ms is None
+            and confirmed_ms >= self._complete_from_ms
+        ):
+            self.complete_ms = confirmed_ms
 
     def _enter_era(self, era):
         if era <= self.era:
@@ -262,6 +320,11 @@
                 self._clock.monotonic_ms() + REREGISTRATION_GRACE_MS
             )
 
+    def _await_missing_entries(self, now_ms):
+        self._complete_from_ms = (
+            now_ms + REREGISTRATION_GRACE_MS + SETTLING_MARGIN_MS
+        )
+
     def _put(self, server, revision):
         known = self.servers.get(server.name)
         last = known or self._tombstones.get(server.name)
--- a/packages/flows/src/kingcupport/flows/flow_server.py
+++ b/packages/flows/src/kingcupport/flows/flow_server.py
@@ -44,6 +44,12 @@
         return same_write != other
 
 
+def contents_to_plain(server):
+    """Return what ``differs_from`` compares as a list for msgpack."""
+    *contents, _, _ = attrs.astuple(server)
+    return contents
+
+
 def server_to_plain(server):
     """Return a server as a list for msgpack."""
     return list(attrs.astuple(server))
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -155,8 +155,8 @@
     interval_ms: int
 
 
-# Code 7 was a greeting with revisions that had no era.
-@_register_datagram(11)
+# Codes 7 and 11 were greetings that did not show whether views are equal.
+@_register_datagram(12)
 @attrs.define
 class BalancerGreeting:
     """Advertises the state of a balancer to the other balancers.
@@ -166,9 +166,12 @@
         configuration_version: Version in force at the sender, 0
             without one.
         content_revision: Qualified revision of the last change of a server.
+        content_digest: Hash of the servers in the view.
         read_revision: Qualified revision up to which the view is complete.
         confirmed_age_ms: How long ago the store confirmed the view; -1 if
             it never did.
+        is_complete: Whether the view then listed every server that may hold
+            flows.
         is_reading: Whether the sender's last call to the store succeeded.
         is_leaving: Whether the sender is about to stop.
         wants_reply: Whether the receiver has to answer with its own.
@@ -178,8 +181,10 @@
     name: str
     configuration_version: int
     content_revision: int
+    content_digest: int
     read_revision: int
     confirmed_age_ms: int
+    is_complete: bool
     is_reading: bool
     is_leaving: bool
     wants_reply: bool
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -175,8 +175,11 @@
         self.advance(unlisted_ms)
 
     def advance(self, duration_ms):
-        self.balancer.clock.advance(duration_ms)
-        self.balancer.read()
+        # A pause without reads counts as an outage of the store.
+        while duration_ms > 0:
+            self.balancer.clock.advance(min(duration_ms, 1_000))
+            self.balancer.read()
+            duration_ms -= 1_000
 
     def search(self, flow, *, is_silent=True):
         self.balancer.client(flow, acknowledged=5, data=b'x')
--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies
 import pytest
 
+from kingcupport.flows import fleet_view
+
 # A lost flow costs a probe and an answer for each agent, and a search and its
 # result at the balancer.
 MAX_DATAGRAMS_PER_AGENT = 2
@@ -38,8 +40,13 @@
     return fleet, requests
 
 
-def restart(fleet, *, servers):
-    """Restart all processes, as after a kill or a loss of power."""
+def restart(fleet, *, servers, is_vouched_for=True):
+    """Restart all processes, as after a kill or a loss of power.
+
+    Unless a balancer elsewhere has kept running, it takes some time until the
+    entries show all servers.
+    """
+    fleet.is_vouched_for = is_vouched_for
     for node in fleet.nodes:
         if servers:
             node.start_server()
@@ -109,10 +116,26 @@
     assert len(in_time) >= 0.97 * len(fresh)
 
 
-def test_flows_survive_a_restart_of_all_processes_of_the_system():
+def test_no_flow_is_reset_before_the_entries_show_all_servers():
+    """Guards review/3: after an outage, entries may be missing for 2 s."""
+    fleet, requests = make_fleet(7, 50, balancers=2, servers=10)
+    restart(fleet, servers=True, is_vouched_for=False)
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(fleet_view.REREGISTRATION_GRACE_MS)
+    assert not any(request.reset_ms for request in requests)
+    # The last retransmission comes 3 s after the first packet.
+    fleet.run(1_500)
+    assert all(request.reset_ms is not None for request in requests)
+
+
+@pytest.mark.parametrize('is_vouched_for', [True, False])
+def test_flows_survive_a_restart_of_all_processes_of_the_system(
+    is_vouched_for,
+):
     """The servers live: no flow may be reset, and each holder is found."""
     fleet, requests = make_fleet(3, 200)
-    restart(fleet, servers=False)
+    restart(fleet, servers=False, is_vouched_for=is_vouched_for)
     for request in requests:
         fleet.send_again(request)
     fleet.run(2_000)
--- /dev/null
+++ b/tests/balancer/test_flow_view_sync.py
@@ -0,0 +1,98 @@
+"""Tests that balancers confirm each other's views only with proof."""
+
+import pytest
+import view_sync_simulation
+
+from kingcupport.flows import fleet_view
+
+COMPLETE_AFTER_MS = (
+    fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+)
+
+
+def make_fleet(balancers=2, servers=4):
+    fleet = view_sync_simulation.ViewSyncSimulation(balancers, servers)
+    fleet.run(COMPLETE_AFTER_MS + 2_500)
+    assert all(b.view.is_complete for b in fleet.balancers.values())
+    return fleet
+
+
+def interrupt_store(fleet, missing, duration_ms=2_600):
+    """Take the store down until the next read of the first balancer.
+
+    The entries of some servers expire meanwhile.
+    """
+    fleet.store.is_down = True
+    fleet.run(duration_ms)
+    schedule = next(iter(fleet.balancers.values())).schedule
+    while schedule.next_read_ms() > fleet.clock.monotonic_ms():
+        fleet.run(view_sync_simulation.STEP_MS)
+    for name in missing:
+        fleet.store.remove(name)
+    fleet.store.is_down = False
+
+
+def take_out(fleet, names):
+    return {name: fleet.reporting.pop(name) for name in names}
+
+
+def put_back(fleet, missing):
+    fleet.reporting.update(missing)
+    for server in missing.values():
+        fleet.store.write(server)
+
+
+# The names decide which balancer reads for the others.
+@pytest.mark.parametrize('name', ['b4', 'b8', 'b18'])
+@pytest.mark.parametrize('outage_ms', [2_600, 3_500, 4_500])
+@pytest.mark.parametrize('seeds', [('10.1.0.9',), ('10.1.0.1', '10.1.0.2')])
+def test_balancer_added_while_entries_are_missing_learns_of_them(
+    seeds, outage_ms, name
+):
+    """Guards review/3: equal revisions were taken for equal views."""
+    fleet = make_fleet()
+    names = sorted(fleet.reporting)
+    missing = take_out(fleet, names[1:])
+    interrupt_store(fleet, missing, outage_ms)
+    fleet.add_balancer(seeds, name)
+    fleet.run(1_900)
+    put_back(fleet, missing)
+    fleet.run(3_000)
+    for balancer in fleet.balancers.values():
+        assert sorted(balancer.view.servers) == names
+
+
+def test_added_balancer_that_meets_no_peer_is_not_complete_at_once():
+    """Guards review/3: its view may lack servers that hold flows."""
+    fleet = make_fleet()
+    missing = take_out(fleet, sorted(fleet.reporting)[1:])
+    interrupt_store(fleet, missing)
+    added = fleet.add_balancer(('10.1.0.9',))
+
+    def check():
+        lacks = len(added.view.servers) < 4
+        assert not (added.view.is_complete and lacks)
+
+    fleet.run(1_900, check)
+    put_back(fleet, missing)
+    fleet.run(3_000, check)
+    assert added.view.is_complete
+
+
+def test_balancer_that_starts_beside_a_complete_one_is_complete_soon():
+    fleet = make_fleet()
+    added = fleet.add_balancer()
+    fleet.run(1_500)
+    assert added.view.is_complete
+
+
+def test_removal_that_only_a_new_balancer_has_not_read_is_not_skipped():
+    """Its view lacks the server, so it does not confirm the others."""
+    fleet = make_fleet()
+    name = sorted(fleet.reporting)[0]
+    take_out(fleet, [name])
+    fleet.store.remove(name)
+    fleet.add_balancer(())
+    fleet.run(3_500)
+    for balancer in fleet.balancers.values():
+        assert name not in balancer.view.servers
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -47,6 +47,7 @@
         self.servers = [flow_support.make_server(i) for i in range(servers)]
         if is_populated:
             self.read()
+            self.settle()
 
     def _call_later(self, delay_ms, function):
         """Call a function at once, unless calls are held."""
@@ -78,6 +79,14 @@
         for server in self.servers:
             self.report(server.ip)
 
+    def settle(self):
+        """Read until the view lists every server that may hold flows."""
+        self.clock.advance(
+            fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+        )
+        self.read(self.view.configuration.version)
+        assert self.view.is_complete
+
     def report(self, ip, running=0, boot=1):
         self.sequence += 1
         report = flow_datagrams.LoadReport(
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -202,6 +202,12 @@
             call_later=fleet.after,
         )
         self.read()
+        if self._fleet.is_vouched_for:
+            self._view.confirm(
+                fleet.clock.monotonic_ms(),
+                self._view.read_revision,
+                is_complete=True,
+            )
 
     def stop(self):
         self.path = None
@@ -224,7 +230,7 @@
     def greet(self):
         if self.path is None:
             return
-        self._view.confirm(self._fleet.clock.monotonic_ms(), 10)
+        self.read(self._view.read_revision)
         interval_ms = max(
             flow_view_sync.GREETING_INTERVAL_MS,
             1_000
@@ -308,6 +314,8 @@
 
     Attributes:
         messages: Number of datagrams between balancers and agents, by class.
+        is_vouched_for: Whether a balancer that starts learns from a peer that
+            its view lists every server.
         odd_entries: FlowServer objects of another writer.
         requests: SimulatedRequest by flow.
         untrue_resets: SimulatedRequest objects whose open flow was reset while
@@ -328,6 +336,7 @@
     ):
         self.loss = loss
         self.odd_entries = []
+        self.is_vouched_for = False
         self.timeout_ms = timeout_ms
         self.clock = flow_support.make_clock()
         self.rng = random.Random(seed)
--- a/tests/flows/test_fleet_view.py
+++ b/tests/flows/test_fleet_view.py
@@ -196,6 +196,47 @@
     assert not view.servers
 
 
+def test_put_off_removal_is_part_of_the_digest(view, clock):
+    """A peer that has not read the removal must not skip it."""
+    peer = fleet_view.make_fleet_view(clock)
+    servers = [flow_support.make_server(n) for n in (1, 2)]
+    for each in (view, peer):
+        read(each, clock, make_update(10, servers))
+    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    read(view, clock, make_update(14, servers[:1]))
+    assert view.servers == peer.servers
+    assert view.digest != peer.digest
+    read(view, clock, make_update(15, servers))
+    assert view.digest == peer.digest
+
+
+def test_view_is_complete_once_missing_entries_had_time_to_return(view, clock):
+    """Guards review/3: a new view cannot tell whether the store was away."""
+    complete_after_ms = (
+        fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+    )
+    read(view, clock, make_update(10))
+    clock.advance(complete_after_ms - 1)
+    read(view, clock, make_update(11))
+    assert not view.is_complete
+    clock.advance(1)
+    read(view, clock, make_update(12))
+    assert view.is_complete
+    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    read(view, clock, make_update(13))
+    assert not view.is_complete
+
+
+def test_peer_that_knows_of_no_missing_entry_makes_a_view_complete(
+    view, clock
+):
+    read(view, clock, make_update(10))
+    view.confirm(clock.monotonic_ms() - 5, 10, is_complete=True)
+    clock.advance(500)
+    view.confirm(clock.monotonic_ms() - 5, 11)
+    assert view.is_complete
+
+
 class ViewMachine(stateful.RuleBasedStateMachine):
     """A store and two views; reads arrive late, repeated and out of order."""
 
