--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -48,6 +48,7 @@
         finished: Event that is set when the process ends by itself.
         counters: FlowCounters.
         view: FleetView.
+        source: FleetSource.
         sync: FlowViewSync.
         data_path: FlowDataPath.
     """
@@ -62,7 +63,7 @@
         self._settings = settings
         self._clock = clock
         self._tasks = []
-        self._source = source
+        self.source = source
         self._client_socket = datagram_socket.DatagramSocket(
             settings.packet_address, _ignore_unreachable
         )
@@ -157,7 +158,7 @@
         self._probes.stop()
         if self._exchange is not None:
             self._exchange.stop()
-        self._source.close()
+        self.source.close()
         self._client_socket.close()
         self._peer_socket.close()
 
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -24,7 +24,7 @@
 GREETINGS_BEFORE_EXPIRY = 2.6
 # A peer that is silent for longer is forgotten; seeds are still greeted.
 PEER_RETENTION_MS = 10_000
-# Peers listed in a greeting, and names listed in a log line.
+# Peers listed in a greeting.
 MAX_LISTED_PEERS = 16
 # Greetings of further balancers are ignored.
 MAX_PEERS = 1_024
@@ -143,12 +143,6 @@
                 extra={'revision': store_revision.to_text(update.revision)},
             )
         self._was_source_available = True
-        if update.invalid_names:
-            LOG.warning(
-                'invalid server entries in the store; their servers get no '
-                'new flows',
-                extra={'names': update.invalid_names[:MAX_LISTED_PEERS]},
-            )
         self._announce_view(to_all=has_changed)
 
     def _log_full_read(self, update):
--- a/packages/flows/src/kingcupport/flows/fleet_source.py
+++ b/packages/flows/src/kingcupport/flows/fleet_source.py
@@ -36,7 +36,8 @@
         servers: FlowServer objects.
         removed: Names of the removed servers, each with the qualified
             revision of its removal.
-        invalid_names: Names of the entries that are no valid server.
+        invalid: Names of the entries that are no valid server, each with its
+            qualified revision.
     """
 
     revision: int
@@ -44,7 +45,7 @@
     configuration: object = None
     servers: list = attrs.field(factory=list)
     removed: list = attrs.field(factory=list)
-    invalid_names: list = attrs.field(factory=list)
+    invalid: list = attrs.field(factory=list)
 
 
 class FleetSource(abc.ABC):
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -78,6 +78,7 @@
 
     def __init__(self, clock, server_expiry_ms):
         self._clock = clock
+        self._server_expiry_ms = server_expiry_ms
         self._settling_ms = SETTLING_MARGIN_MS + max(
             REREGISTRATION_GRACE_MS, server_expiry_ms
         )
@@ -96,6 +97,7 @@
         self._tombstones = collections.OrderedDict()
         self._oldest_tombstone_revision = 0
         self._pending_removals = {}
+        self._rejected_names = set()
         self._grace_end_ms = 0.0
         self._complete_from_ms = 0.0
         self._await_missing_entries(clock.monotonic_ms())
@@ -188,8 +190,7 @@
             )
         for name, revision in update.removed:
             self._schedule_removal(name, revision)
-        for name in update.invalid_names:
-            self._remove(name, update.revision)
+        self._reject(update)
         if update.is_full_read:
             self._remove_missing(update)
         self._apply_due_removals()
@@ -363,8 +364,33 @@
             is_gone and server.writing_order == last.writing_order
         )
 
+    def _reject(self, update):
+        """Remove the servers whose entries are not valid.
+
+        An invalid entry may hide that of a server until it writes again.
+        """
+        written = {server.name: server.revision for server in update.servers}
+        names = set()
+        for name, revision in update.invalid:
+            if written.get(name, 0) <= revision:
+                self._remove(name, revision)
+                names.add(name)
+        for name in names - self._rejected_names:
+            self._complete_from_ms = max(
+                self._complete_from_ms,
+                self._clock.monotonic_ms() + self._server_expiry_ms,
+            )
+            self._notify('server_rejected', server=name)
+        if update.is_full_read:
+            self._rejected_names = names
+        else:
+            self._rejected_names |= names
+            self._rejected_names -= {s.name for s in update.servers} - names
+            self._rejected_names -= {name for name, _ in update.removed}
+
     def _remove_missing(self, update):
         present = {server.name for server in update.servers}
+        present.update(name for name, _ in update.invalid)
         missing = [
             server.name
             for server in self.servers.values()
--- a/tests/flows/test_fleet_view.py
+++ b/tests/flows/test_fleet_view.py
@@ -191,7 +191,7 @@
     read(
         view,
         clock,
-        make_update(11, is_full_read=False, invalid_names=['gate-1']),
+        make_update(11, is_full_read=False, invalid=[('gate-1', 11)]),
     )
     assert not view.servers
 
@@ -237,6 +237,52 @@
     assert view.is_complete
 
 
+def settle(view, clock, servers):
+    read(view, clock, make_update(20, servers))
+    clock.advance(
+        fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+    )
+    read(view, clock, make_update(21, servers))
+    assert view.is_complete
+
+
+def test_invalid_entry_may_hide_a_server_until_it_has_written_again(
+    view, clock
+):
+    """Guards against a reset of flows at a server that is not known."""
+    settle(view, clock, [flow_support.make_server(1)])
+    odd = {'is_full_read': False, 'invalid': [('gate-9', 30)]}
+    clock.advance(10)
+    read(view, clock, make_update(30, **odd))
+    assert not view.is_complete
+    for revision in (31, 32, 33):
+        clock.advance(1_000)
+        odd['invalid'] = [('gate-9', revision)]
+        read(view, clock, make_update(revision, **odd))
+    # Its server has had time to write; nobody did but the other writer.
+    assert view.is_complete
+
+
+def test_server_that_has_written_again_replaces_an_invalid_entry(view, clock):
+    settle(view, clock, [flow_support.make_server(1)])
+    update = make_update(
+        42,
+        [flow_support.make_server(1, revision=42)],
+        is_full_read=False,
+        invalid=[('gate-1', 41)],
+    )
+    read(view, clock, update)
+    assert set(view.servers) == {'gate-1'}
+
+
+def test_rejected_entry_is_reported_once(view, clock):
+    kinds = []
+    view.on_change(lambda kind, _fields: kinds.append(kind))
+    for revision in (20, 21, 22):
+        read(view, clock, make_update(revision, invalid=[('x', revision)]))
+    assert kinds == ['server_rejected']
+
+
 class ViewMachine(stateful.RuleBasedStateMachine):
     """A store and two views; reads arrive late, repeated and out of order."""
 
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -22,6 +22,7 @@
     'seq_no': 4,
     'born': 1769989182125,
 }
+DATA_CENTRES = frozenset({'dakar-plateau', 'thies-centre'})
 CONFIGURATION = {
     'config_version': 7,
     'routes': [
@@ -73,7 +74,7 @@
 
 
 def decode_server(item):
-    return store_entries.decode_server(item)
+    return store_entries.decode_server(item, 0, DATA_CENTRES)
 
 
 def test_decode_server():
@@ -113,23 +114,71 @@
 
 
 def _invalid_fields():
-    keys = sorted(SERVER.keys() - {'born', 'config_version'})
-    pairs = itertools.product(keys, (None, 'other', -1, [], 1.5))
-    unrestricted = ('cold_left_ms', 'seq_no')
+    keys = sorted(SERVER.keys() - {'config_version'})
+    pairs = itertools.product(keys, (None, '', 'other', -1, [], 1.5, True))
     return [
-        (key, value)
-        for key, value in pairs
-        if not (key in ('zone', 'service') and value == 'other')
-        and not (key in unrestricted and value == -1)
+        *(
+            (key, value)
+            for key, value in pairs
+            # Whether the service exists depends on the configuration.
+            if not (key == 'service' and value == 'other')
+        ),
+        *(('config_version', value) for value in (None, [], {}, 1.5, True)),
+        *((key, 2**62) for key in ('slots', 'cold_left_ms', 'seq_no', 'born')),
+        ('slots', 0),
+        ('slots', 1_000_000),
+        ('cold_left_ms', 10**9),
+        ('born', 10**15),
+        ('address', '10.128.0.9'),
+        ('address', '10.128.0.9:0'),
+        ('address', '10.128.0.9:65536'),
+        ('address', '10.128.0.9:' + '9' * 5_000),
+        ('address', '10.128.0.9:-1'),
+        ('address', '10.128.0.9:8080:1'),
+        ('address', '10.128.0.256:8080'),
+        ('address', '[::1]:8080'),
+        ('address', '0.0.0.0:8080'),
+        ('address', '224.0.0.1:8080'),
+        ('address', '255.255.255.255:8080'),
+        ('address', 'localhost:8080'),
     ]
 
 
 @pytest.mark.parametrize(('key', 'value'), _invalid_fields())
 def test_server_with_an_invalid_field_is_rejected(key, value):
+    """Guards against an odd entry at the address of a server."""
     with pytest.raises(store_entries.EntryError):
         decode_server(make_item({**SERVER, key: value}))
 
 
+def test_any_data_centre_is_valid_if_the_settings_name_none():
+    server = store_entries.decode_server(make_item({**SERVER, 'zone': 'x'}))
+    assert server.data_centre == 'x'
+
+
+@pytest.mark.parametrize('key', ['servers/', 7, None, 'servers/\ud800'])
+def test_server_without_a_valid_name_is_rejected(key):
+    with pytest.raises(store_entries.EntryError):
+        decode_server(make_item(SERVER, key))
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'[' * 200_000,
+        b'{"a":' * 100_000,
+        b'{"slots":' + b'9' * 10_000 + b'}',
+        b'{"slots":1e999}',
+        b'NaN',
+        b'',
+        b'\xff\xfe',
+    ],
+)
+def test_value_that_no_parser_likes_is_rejected(value):
+    with pytest.raises(store_entries.EntryError):
+        decode_server(make_item(value))
+
+
 @pytest.mark.parametrize(
     ('key', 'value'),
     [
@@ -174,9 +223,7 @@
     assert flow_route.encode_configuration(configuration)
 
 
-@pytest.mark.parametrize(
-    'key', sorted(SERVER.keys() - {'born', 'config_version'})
-)
+@pytest.mark.parametrize('key', sorted(SERVER.keys() - {'born'}))
 def test_server_without_a_field_is_rejected(key):
     incomplete = {k: v for k, v in SERVER.items() if k != key}
     with pytest.raises(store_entries.EntryError):
--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -123,7 +123,7 @@
     )
     update = source.read_changes(revision)
     assert [name for name, _ in update.removed] == ['i-1']
-    assert update.invalid_names == ['i-2']
+    assert [name for name, _ in update.invalid] == ['i-2']
 
 
 def test_invalid_entries_are_skipped(store, source):
@@ -132,7 +132,37 @@
     store.put_server('i-3', '10.0.0.3', 80, state='resting')
     update = source.read_all()
     assert [server.name for server in update.servers] == ['i-1']
-    assert update.invalid_names == ['i-2', 'i-3']
+    assert [name for name, _ in update.invalid] == ['i-2', 'i-3']
+
+
+def test_entry_of_an_unknown_data_centre_is_skipped(store, source):
+    source.data_centres = frozenset({'dakar'})
+    store.put_server('i-1', '10.0.0.1', 80)
+    store.put_server('i-2', '10.0.0.2', 80, zone='elsewhere')
+    update = source.read_all()
+    assert [server.name for server in update.servers] == ['i-1']
+
+
+def test_invalid_change_has_the_revision_at_which_it_was_written(
+    store, source
+):
+    """A server that writes afterwards must not be taken for invalid."""
+    store.put_server('i-1', '10.0.0.1', 80)
+    revision = source.read_all().revision
+    store.put('servers/i-1', b'odd')
+    odd_revision = store.qualified_revision
+    store.put_server('i-1', '10.0.0.1', 80)
+    update = source.read_changes(revision)
+    assert update.invalid == [('i-1', odd_revision)]
+    assert update.servers[0].revision > odd_revision
+
+
+@pytest.mark.parametrize('items', [[], [{'key': 7}], [{'key': ''}]])
+def test_page_that_does_not_say_where_the_next_begins_raises(items):
+    body = {'items': items, 'has_more': True, 'current_rev': 7}
+    link = SlowLink(json.dumps(body).encode(), 1, 1)
+    with gevent.Timeout(3), pytest.raises(fleet_source.SourceError):
+        link.read()
 
 
 @pytest.mark.parametrize('status', [429, 503, 500])
