--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -1,6 +1,7 @@
 """Synchronizes a balancer's view with the store and with its peers."""
 
 import logging
+import math
 
 from gevent import event
 
@@ -28,6 +29,9 @@
 MAX_LISTED_PEERS = 16
 # Greetings of further balancers are ignored.
 MAX_PEERS = 1_024
+# A greeting that would confirm the view by this much later than before
+# is worth a question to its sender.
+MIN_CONFIRMATION_GAIN_MS = 250
 # The read schedule is checked at least this often, because confirmations from
 # peers postpone the next read.
 SCHEDULE_CHECK_MS = 100
@@ -40,6 +44,8 @@
     whose view is older pulls the difference; one whose view has the same
     contents takes over the confirmation. Equal revisions alone do not show
     that: of two views, one may have read the store while entries were missing.
+    Only the answer to an own greeting confirms the view, as of the time at
+    which that greeting was sent.
 
     Args:
         settings: FlowBalancerSettings.
@@ -252,7 +258,7 @@
         for ip in ips:
             self._send(greeting, (ip, self._settings.peer_address.port))
 
-    def _greeting(self, *, wants_reply):
+    def _greeting(self, *, wants_reply, echo_ms=-1):
         age_ms = self._view.age_ms()
         known = list(self._peers)
         return flow_datagrams.BalancerGreeting(
@@ -261,11 +267,13 @@
             self._view.content_revision,
             self._view.digest,
             self._view.read_revision,
-            -1 if age_ms is None else int(age_ms),
-            self._view.is_complete,
+            -1 if age_ms is None else math.ceil(age_ms),
+            self._view.can_vouch,
             self._schedule.is_reading,
             self.is_leaving,
             wants_reply,
+            int(self._clock.monotonic_ms()),
+            echo_ms,
             self._rng.sample(known, min(len(known), MAX_LISTED_PEERS)),
         )
 
@@ -288,11 +296,7 @@
             self._peers.pop(ip, None)
         self._greet_unknown_peers(greeting.peer_ips)
         if greeting.wants_reply:
-            reply = self._greeting(wants_reply=False)
-            self._send(
-                flow_datagrams.encode(reply),
-                (ip, self._settings.peer_address.port),
-            )
+            self._send_greeting(ip, echo_ms=greeting.sent_ms)
         self._compare_views(greeting, ip, now_ms)
 
     def _greet_unknown_peers(self, ips):
@@ -320,12 +324,36 @@
             and greeting.content_revision == view.content_revision
             and greeting.content_digest == view.digest
         ):
+            self._take_confirmation(greeting, ip, now_ms)
+
+    def _take_confirmation(self, greeting, ip, now_ms):
+        """Take over a confirmation if the greeting answers a question.
+
+        A greeting may have waited for long before it is handled, so its age is
+        known only from the time at which it was asked for.
+        """
+        view = self._view
+        if greeting.echo_ms < 0:
+            if (
+                view.confirmed_ms is None
+                or now_ms - greeting.confirmed_age_ms - view.confirmed_ms
+                >= MIN_CONFIRMATION_GAIN_MS
+            ):
+                self._send_greeting(ip, wants_reply=True)
+        elif greeting.echo_ms <= now_ms:
             view.confirm(
-                now_ms - greeting.confirmed_age_ms,
+                greeting.echo_ms - greeting.confirmed_age_ms,
                 greeting.read_revision,
                 is_complete=greeting.is_complete,
             )
 
+    def _send_greeting(self, ip, *, wants_reply=False, echo_ms=-1):
+        greeting = self._greeting(wants_reply=wants_reply, echo_ms=echo_ms)
+        self._send(
+            flow_datagrams.encode(greeting),
+            (ip, self._settings.peer_address.port),
+        )
+
     def run_puller(self):
         """Pull views from peers that are ahead; never returns."""
         while True:
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -100,6 +100,7 @@
         self._rejected_names = set()
         self._grace_end_ms = 0.0
         self._complete_from_ms = 0.0
+        self._vouch_from_ms = 0.0
         self._await_missing_entries(clock.monotonic_ms())
         self._callbacks = []
 
@@ -125,6 +126,15 @@
             and self.complete_ms >= self.confirmed_ms
         )
 
+    @property
+    def can_vouch(self):
+        """Whether a peer with an equal view lists every server, too.
+
+        After the removal of a server that did not drain, only this view knows
+        that the server may still hold flows.
+        """
+        return self.is_complete and self.confirmed_ms >= self._vouch_from_ms
+
     @property
     def digest(self):
         """Hash of the servers and of the removals that are put off.
@@ -434,6 +444,12 @@
         if revision <= server.revision:
             return
         del self.servers[name]
+        if not server.is_draining:
+            self._vouch_from_ms = (
+                self._clock.monotonic_ms()
+                + REREGISTRATION_GRACE_MS
+                + SETTLING_MARGIN_MS
+            )
         self._tombstones[name] = _Tombstone(revision, server.writing_order)
         if len(self._tombstones) > MAX_TOMBSTONES:
             _, oldest = self._tombstones.popitem(last=False)
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -170,11 +170,13 @@
         read_revision: Qualified revision up to which the view is complete.
         confirmed_age_ms: How long ago the store confirmed the view; -1 if
             it never did.
-        is_complete: Whether the view then listed every server that may hold
-            flows.
+        is_complete: Whether a view with the same contents then listed every
+            server that may hold flows.
         is_reading: Whether the sender's last call to the store succeeded.
         is_leaving: Whether the sender is about to stop.
         wants_reply: Whether the receiver has to answer with its own.
+        sent_ms: When it was sent, on the sender's monotonic clock.
+        echo_ms: ``sent_ms`` of the greeting that it answers; -1 if none.
         peer_ips: Addresses of further balancers.
     """
 
@@ -188,6 +190,8 @@
     is_reading: bool
     is_leaving: bool
     wants_reply: bool
+    sent_ms: int
+    echo_ms: int
     peer_ips: list
 
 
--- a/tests/balancer/test_flow_view_sync.py
+++ b/tests/balancer/test_flow_view_sync.py
@@ -36,12 +36,6 @@
     return {name: fleet.reporting.pop(name) for name in names}
 
 
-def put_back(fleet, missing):
-    fleet.reporting.update(missing)
-    for server in missing.values():
-        fleet.store.write(server)
-
-
 # The names decide which balancer reads for the others.
 @pytest.mark.parametrize('name', ['b4', 'b8', 'b18'])
 @pytest.mark.parametrize('outage_ms', [2_600, 3_500, 4_500])
@@ -56,7 +50,7 @@
     interrupt_store(fleet, missing, outage_ms)
     fleet.add_balancer(seeds, name)
     fleet.run(1_900)
-    put_back(fleet, missing)
+    fleet.put_back(missing)
     fleet.run(3_000)
     for balancer in fleet.balancers.values():
         assert sorted(balancer.view.servers) == names
@@ -74,7 +68,7 @@
         assert not (added.view.is_complete and lacks)
 
     fleet.run(1_900, check)
-    put_back(fleet, missing)
+    fleet.put_back(missing)
     fleet.run(3_000, check)
     assert added.view.is_complete
 
@@ -86,6 +80,23 @@
     assert added.view.is_complete
 
 
+def test_balancer_is_not_complete_by_the_word_of_a_peer_that_lost_a_server():
+    """A short outage: the peer knows the server, the new balancer does not."""
+    fleet = make_fleet()
+    (name, *_) = missing = take_out(fleet, sorted(fleet.reporting)[:1])
+    fleet.store.remove(name)
+    fleet.run(1_100)
+    added = fleet.add_balancer()
+
+    def check():
+        assert not (added.view.is_complete and name not in added.view.servers)
+
+    fleet.run(800, check)
+    fleet.put_back(missing)
+    fleet.run(4_000, check)
+    assert added.view.is_complete
+
+
 def test_removal_that_only_a_new_balancer_has_not_read_is_not_skipped():
     """Its view lacks the server, so it does not confirm the others."""
     fleet = make_fleet()
@@ -96,3 +107,36 @@
     fleet.run(3_500)
     for balancer in fleet.balancers.values():
         assert name not in balancer.view.servers
+
+
+def test_woken_balancers_do_not_put_off_the_reads_of_the_others():
+    """Guards review/4: they took old confirmations for new ones."""
+    fleet = make_fleet(balancers=5)
+    pauses = {4: (0, 4_300), 3: (400, 1_700), 2: (1_250, 2_550)}
+    never_paused = list(fleet.balancers.values())[:2]
+    started_ms = fleet.clock.monotonic_ms()
+
+    def check():
+        elapsed_ms = fleet.clock.monotonic_ms() - started_ms
+        for number, (start_ms, end_ms) in pauses.items():
+            balancer = list(fleet.balancers.values())[number]
+            balancer.is_paused = start_ms <= elapsed_ms < end_ms
+        for balancer in fleet.balancers.values():
+            view = balancer.view
+            assert view.read_revision >= fleet.store.revision_at(
+                view.confirmed_ms
+            )
+        for balancer in never_paused:
+            # One read interval, a delay for each rank, and a round trip.
+            assert balancer.view.age_ms() <= 2_000
+
+    fleet.run(8_000, check)
+
+
+@pytest.mark.parametrize('balancers', [2, 6, 20])
+def test_confirmed_views_take_few_reads(balancers):
+    fleet = make_fleet(balancers=balancers)
+    before = len(fleet.store.calls)
+    fleet.run(20_000)
+    reads_per_s = (len(fleet.store.calls) - before) / 20
+    assert reads_per_s <= 1.5
--- a/tests/view_sync_simulation.py
+++ b/tests/view_sync_simulation.py
@@ -4,6 +4,7 @@
 network are models on one manual clock.
 """
 
+import bisect
 import heapq
 import itertools
 import random
@@ -42,17 +43,27 @@
         self.configuration = flow_support.make_configuration()
         self.is_down = False
         self.calls = []
+        # When each revision was given out.
+        self._times_ms = [clock.monotonic_ms()]
+
+    def revision_at(self, time_ms):
+        """Return the revision that the store had just before a time."""
+        return bisect.bisect_left(self._times_ms, time_ms)
+
+    def _next_revision(self):
+        self.revision += 1
+        self._times_ms.append(self._clock.monotonic_ms())
 
     def write(self, server):
         if self.is_down:
             return
-        self.revision += 1
+        self._next_revision()
         entry = attrs.evolve(server, revision=self.revision)
         self.entries[server.name] = entry
         self.history.append((self.revision, server.name, entry))
 
     def remove(self, name):
-        self.revision += 1
+        self._next_revision()
         self.entries.pop(name)
         self.history.append((self.revision, name, None))
 
@@ -170,12 +181,11 @@
         self._deliveries = []
         self._order = itertools.count()
         self._next_report_ms = 0.0
-        self.reporting = {
-            server.name: server
-            for server in map(flow_support.make_server, range(servers))
-        }
-        for server in self.reporting.values():
-            self.store.write(server)
+        self._server_numbers = itertools.count()
+        self._live_since_ms = {}
+        self.reporting = {}
+        for _ in range(servers):
+            self.add_server()
         for _ in range(balancers):
             self.add_balancer()
 
@@ -187,6 +197,26 @@
         self.balancers[balancer.ip] = balancer
         return balancer
 
+    def add_server(self):
+        server = flow_support.make_server(next(self._server_numbers))
+        self._live_since_ms[server.name] = self.clock.monotonic_ms()
+        self.reporting[server.name] = server
+        self.store.write(server)
+
+    def put_back(self, missing):
+        """Let servers write again whose entries have expired."""
+        self.reporting.update(missing)
+        for server in missing.values():
+            self.store.write(server)
+
+    def live_since(self, time_ms):
+        """Return when the servers that lived at a time had registered."""
+        return {
+            name: since_ms
+            for name, since_ms in self._live_since_ms.items()
+            if since_ms < time_ms
+        }
+
     def deliver(self, data, source_ip, ip):
         due_ms = self.clock.monotonic_ms() + ONE_WAY_DELAY_MS
         heapq.heappush(
--- a/tests/wire/test_flow_datagrams.py
+++ b/tests/wire/test_flow_datagrams.py
@@ -17,7 +17,19 @@
     flow_datagrams.LoadReport(1, 2, 'gate', 3, 4, 5, False, True, True),
     flow_datagrams.AgentGreeting('b0', 500),
     flow_datagrams.BalancerGreeting(
-        'b0', 1, 2, 1 << 63, 3, -1, False, True, False, True, ['10.0.0.1']
+        'b0',
+        1,
+        2,
+        1 << 63,
+        3,
+        -1,
+        False,
+        True,
+        False,
+        True,
+        9,
+        -1,
+        ['10.0.0.1'],
     ),
 ]
 
