--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -94,6 +94,7 @@
             send_to_client=self._client_socket.send,
             send_to_agent=self._peer_socket.send,
             call_later=_call_later,
+            request_read=self.sync.request_read,
         )
         self.view.on_change(self._on_view_change)
         self._exchange = None
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -32,6 +32,8 @@
         send_to_client: ``send(data, address)`` on the clients' socket.
         send_to_agent: ``send(data, address)`` on the agents' socket.
         call_later: ``call_later(delay_ms, function)`` calls a function later.
+        request_read: ``request_read(time_ms)`` asks for a read of the store
+            that starts after a time.
 
     Attributes:
         loads: ServerLoads.
@@ -52,6 +54,7 @@
         send_to_client,
         send_to_agent,
         call_later,
+        request_read,
     ):
         self._settings = settings
         self._format = packet_format
@@ -67,7 +70,13 @@
             clock, view, settings.max_flow_ms
         )
         self._refusals = flow_refusals.FlowRefusals(
-            packet_format, view, counters, decisions, send_to_client
+            clock,
+            packet_format,
+            view,
+            counters,
+            decisions,
+            send_to_client,
+            request_read,
         )
         self.finder = holder_finder.HolderFinder(
             clock,
@@ -75,10 +84,12 @@
             self._index,
             self.table,
             self.loads,
+            view,
             self._refusals,
             counters,
             decisions,
             self._send_to,
+            request_read,
         )
         self.opener = flow_opener.FlowOpener(
             clock,
@@ -170,6 +181,7 @@
         self.table.drop_expired()
         self._index.drop_expired()
         self.finder.drop_expired()
+        self._refusals.drop_expired()
         self.loads.retain(self._index.known_ips())
 
     def handle_early_packets(self):
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -89,6 +89,7 @@
         self._peers = {}
         self._greeted_agents_ms = 0.0
         self._agent_interval_ms = GREETING_INTERVAL_MS
+        self._read_requested = event.Event()
         self._pull_requested = event.Event()
         self._pull_ip = None
         self.is_leaving = False
@@ -108,13 +109,12 @@
         """Read the store whenever a read is due; never returns."""
         while True:
             if not self.read_if_due():
-                now_ms = self._clock.monotonic_ms()
-                self._clock.sleep_until(
-                    min(
-                        self._schedule.next_read_ms(),
-                        now_ms + SCHEDULE_CHECK_MS,
-                    )
+                wait_ms = min(
+                    self._schedule.next_read_ms() - self._clock.monotonic_ms(),
+                    SCHEDULE_CHECK_MS,
                 )
+                self._read_requested.clear()
+                self._read_requested.wait(max(0.0, wait_ms) / 1000)
 
     def read_if_due(self):
         """Read the store if the schedule says so.
@@ -125,9 +125,20 @@
         now_ms = self._clock.monotonic_ms()
         if self._schedule.next_read_ms() > now_ms:
             return False
+        self._schedule.on_start()
         self._read(now_ms)
         return True
 
+    def request_read(self, time_ms):
+        """Read soon, because a decision needs a confirmation.
+
+        Args:
+            time_ms: The read has to start after this time, on the monotonic
+                clock.
+        """
+        self._view.request_confirmation(time_ms)
+        self._read_requested.set()
+
     def _read(self, started_ms):
         try:
             update = self._call_source(started_ms)
--- a/packages/balancer/src/kingcupport/balancer/holder_finder.py
+++ b/packages/balancer/src/kingcupport/balancer/holder_finder.py
@@ -28,10 +28,13 @@
         index: ServerIndex.
         table: FlowTable to which found flows are added.
         loads: ServerLoads, by which a live agent is chosen.
+        view: FleetView.
         refusals: FlowRefusals.
         counters: FlowCounters.
         decisions: DecisionLog.
         send_to: ``send_to(ip, datagram)`` sends a datagram to an agent.
+        request_read: ``request_read(time_ms)`` asks for a read of the store
+            that starts after a time.
     """
 
     def __init__(
@@ -41,20 +44,24 @@
         index,
         table,
         loads,
+        view,
         refusals,
         counters,
         decisions,
         send_to,
+        request_read,
     ):
         self._clock = clock
         self._format = packet_format
         self._index = index
         self._table = table
         self._loads = loads
+        self._view = view
         self._refusals = refusals
         self._counters = counters
         self._decisions = decisions
         self._send_to = send_to
+        self._request_read = request_read
         self._searches = holder_search.make_holder_searches(clock)
         # Since when the agents have not answered.
         self._unanswered_since_ms = {}
@@ -74,12 +81,16 @@
         """
         search = self._searches.add_packet(packet, data)
         search.ruled_out |= set(answered)
-        if search.is_running:
-            return
+        if not search.is_running:
+            self._ask_others(search)
+
+    def _ask_others(self, search):
+        self._searches.stop_waiting(search)
         ips = self._index.known_ips() - search.ruled_out
         if not ips:
             self._finish_without_holder(search)
             return
+        _, data = search.packets[-1]
         surveyor_ip = self._choose_surveyor(search)
         if not self._searches.start(search, ips, surveyor_ip):
             return
@@ -147,10 +158,16 @@
         self._searches.end(flow)
 
     def check_searches(self):
-        """End the searches that got no result in time."""
+        """End the searches that got no result in time.
+
+        Searches that wait for the view ask the servers that it has learned of,
+        or end if it is confirmed.
+        """
         for search in self._searches.overdue():
             search.silent_surveyors |= {search.surveyor_ip}
             self._stop(search, ())
+        for search in self._searches.waiting():
+            self._ask_others(search)
 
     def drop_expired(self):
         """Forget old answers; called periodically."""
@@ -179,16 +196,16 @@
 
     def _finish_without_holder(self, search):
         packet, _ = search.packets[0]
-        search.packets.clear()
         known_ips = self._index.known_ips()
         possible_ips = known_ips - search.ruled_out - self._left_ips()
         if possible_ips:
+            search.packets.clear()
             self._refusals.drop(search.flow, 'holder not found')
-        elif not self._refusals.is_view_complete():
-            self._refusals.drop(
-                search.flow, 'no holder, and the view is not complete'
-            )
+        elif not self._view.is_complete_since(search.first_packet_ms):
+            self._searches.wait_for_view(search)
+            self._request_read(search.first_packet_ms)
         else:
+            search.packets.clear()
             # Shared by all searches that have ended like this.
             search.ruled_out = known_ips
             self._refusals.reset(packet, 'no server holds the flow', None)
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -72,6 +72,8 @@
             clock; None before the first time.
         complete_ms: When the view was last known to list every server that may
             hold flows, on the monotonic clock; None before the first time.
+        wanted_ms: Time since which a decision needs the view confirmed; None
+            if no decision does.
         settle_due_ms: When the view has to be read in full to settle after a
             restore, on the monotonic clock; None if it is settled.
     """
@@ -90,6 +92,7 @@
         self.read_revision = 0
         self.confirmed_ms = None
         self.complete_ms = None
+        self.wanted_ms = None
         # Made when the first peer asks for the configuration.
         self._encoded = None
         # Made when it is asked for after a change.
@@ -152,6 +155,42 @@
             )
         return self._digest
 
+    def is_complete_since(self, time_ms):
+        """Whether the view lists every server that may hold an earlier flow.
+
+        Only a read that started later shows this: a server may have registered
+        and taken flows just before.
+
+        Args:
+            time_ms: When a packet of the flow arrived, on the monotonic clock.
+        """
+        return self.complete_ms is not None and self.complete_ms >= time_ms
+
+    def is_confirmed_since(self, time_ms):
+        """Whether the configuration is the store's at a time or later.
+
+        Args:
+            time_ms: Time on the monotonic clock.
+        """
+        return self.confirmed_ms is not None and self.confirmed_ms >= time_ms
+
+    def request_confirmation(self, time_ms):
+        """Ask for a confirmation that is not older than a time.
+
+        Args:
+            time_ms: Time on the monotonic clock.
+        """
+        self.wanted_ms = max(self.wanted_ms or time_ms, time_ms)
+
+    @property
+    def wanted_read_ms(self):
+        """When a read can give the requested confirmation, or None."""
+        if self.wanted_ms is None or self.is_complete_since(self.wanted_ms):
+            return None
+        return max(
+            self.wanted_ms, self._complete_from_ms, self.settle_due_ms or 0.0
+        )
+
     def age_ms(self):
         """Return the time since the store last confirmed the view.
 
@@ -299,7 +338,7 @@
             # A peer that has followed the store for longer knows of no
             # missing entry.
             self._complete_from_ms = min(self._complete_from_ms, confirmed_ms)
-        if self.confirmed_ms is not None and confirmed_ms <= self.confirmed_ms:
+        if self.confirmed_ms is not None and confirmed_ms < self.confirmed_ms:
             return
         self.confirmed_ms = confirmed_ms
         if (
--- a/packages/flows/src/kingcupport/flows/holder_search.py
+++ b/packages/flows/src/kingcupport/flows/holder_search.py
@@ -30,6 +30,7 @@
         flow: Bytes that identify the flow.
         acknowledged: Sequence number that its client's first packet
             acknowledged.
+        first_packet_ms: When that packet arrived, on the monotonic clock.
         expires_ms: When it is forgotten, on the monotonic clock.
         packets: ``(FlowPacket, bytes)`` pairs that wait for the result.
         unanswered: Addresses of the agents that have not answered.
@@ -44,6 +45,7 @@
 
     flow: bytes
     acknowledged: int
+    first_packet_ms: float
     expires_ms: float
     packets: list = attrs.field(factory=list)
     unanswered: set = attrs.field(factory=set)
@@ -76,6 +78,8 @@
         self._clock = clock
         self._searches = collections.OrderedDict()
         self._running = {}
+        # Those that wait for a view which shows that no server is missing.
+        self._waiting = {}
         self._numbers = itertools.count(1)
         self.refused_count = 0
 
@@ -97,13 +101,16 @@
         Returns:
             The HolderSearch, which is created if the flow has none.
         """
+        now_ms = self._clock.monotonic_ms()
         search = self._searches.get(packet.flow)
         if search is None or _is_later_flow(search, packet):
             self.end(packet.flow)
-            search = HolderSearch(packet.flow, packet.acknowledged, 0.0)
+            search = HolderSearch(
+                packet.flow, packet.acknowledged, now_ms, now_ms
+            )
             self._searches[packet.flow] = search
         self._searches.move_to_end(packet.flow)
-        search.expires_ms = self._clock.monotonic_ms() + RETENTION_MS
+        search.expires_ms = now_ms + RETENTION_MS
         if len(search.packets) < MAX_PACKETS_PER_SEARCH:
             search.packets.append((packet, data))
         if len(self._searches) > MAX_SEARCHES:
@@ -136,6 +143,27 @@
         """Forget the search for a flow, if there is one."""
         self._searches.pop(flow, None)
         self._running.pop(flow, None)
+        self._waiting.pop(flow, None)
+
+    def wait_for_view(self, search):
+        """Keep a search and its packets until the view is confirmed.
+
+        Args:
+            search: HolderSearch that is not running.
+        """
+        self._waiting[search.flow] = search
+
+    def stop_waiting(self, search):
+        """Stop waiting for the view.
+
+        Args:
+            search: HolderSearch.
+        """
+        self._waiting.pop(search.flow, None)
+
+    def waiting(self):
+        """Return the searches that wait for the view."""
+        return list(self._waiting.values())
 
     def overdue(self):
         """Return the searches past the deadline for their answers."""
@@ -164,7 +192,7 @@
             if now_ms >= search.expires_ms and not search.is_running
         ]
         for flow in expired:
-            del self._searches[flow]
+            self.end(flow)
 
 
 def _is_later_flow(search, packet):
--- a/packages/flows/src/kingcupport/flows/read_schedule.py
+++ b/packages/flows/src/kingcupport/flows/read_schedule.py
@@ -17,6 +17,8 @@
 MAX_DELAYED_RANK = 3
 # A reader that has sent no greeting for this long does not count in the rank.
 READER_EXPIRES_MS = 4_000
+# Least time between two reads that a decision has asked for.
+REQUESTED_READ_INTERVAL_MS = 250
 # Exponential backoff after failed reads.
 INITIAL_BACKOFF_MS = 400
 # Every balancer reads once to settle after a restore; these reads are spread
@@ -47,6 +49,7 @@
         self._failures = 0
         self._backoff_until_ms = 0.0
         self._started_ms = clock.monotonic_ms()
+        self._last_read_ms = -REQUESTED_READ_INTERVAL_MS
 
     @property
     def is_reading(self):
@@ -67,6 +70,10 @@
         else:
             self._readers.pop(name, None)
 
+    def on_start(self):
+        """Record that a read starts."""
+        self._last_read_ms = self._clock.monotonic_ms()
+
     def on_success(self):
         """Record a successful read."""
         self._failures = 0
@@ -112,6 +119,10 @@
         if settle_due_ms is not None:
             spread_ms = _name_hash(self._name) % SETTLING_SPREAD_MS
             due_ms = min(due_ms, settle_due_ms + spread_ms)
+        wanted_read_ms = self._view.wanted_read_ms
+        if wanted_read_ms is not None:
+            earliest_ms = self._last_read_ms + REQUESTED_READ_INTERVAL_MS
+            due_ms = min(due_ms, max(wanted_read_ms, earliest_ms))
         return max(due_ms, self._backoff_until_ms)
 
 
--- a/tests/balancer/test_flow_data_path.py
+++ b/tests/balancer/test_flow_data_path.py
@@ -92,6 +92,55 @@
     assert not balancer.resets()
 
 
+def test_a_flow_is_not_reset_before_a_read_that_started_after_its_packet(
+    balancer,
+):
+    """Guards review/5: a server may have registered since the last read."""
+    balancer.clock.advance(300)
+    balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.end_search()
+    balancer.path.finder.check_searches()
+    assert not balancer.resets()
+    assert balancer.requested_reads
+    balancer.clock.advance(20)
+    balancer.read()
+    balancer.path.finder.check_searches()
+    assert len(balancer.resets()) == 1
+
+
+def test_a_server_that_a_requested_read_finds_is_asked(balancer):
+    """Guards review/5: the waiting packets reach the new server."""
+    balancer.clock.advance(300)
+    first = balancer.client(FLOW, acknowledged=5, data=b'x')
+    balancer.end_search()
+    second = balancer.client(FLOW, acknowledged=5, data=b'y')
+    balancer.servers.append(flow_support.make_server(2, revision=30))
+    balancer.clock.advance(20)
+    balancer.read()
+    balancer.path.finder.check_searches()
+    ((search, _),) = balancer.sent(flow_datagrams.FlowSearch)
+    assert search.agent_ips == ['10.0.0.2']
+    balancer.result(search, holder_ip='10.0.0.2')
+    assert [e.packet_data for e, _ in balancer.sent()] == [first, second]
+    assert not balancer.resets()
+
+
+def test_an_open_flow_without_a_route_is_reset_after_a_later_read_only(
+    balancer,
+):
+    """Its route may be newer than the configuration of this balancer."""
+    flow = flow_support.make_flow(1, ('198.18.0.9', 1))
+    balancer.clock.advance(300)
+    for _ in range(3):
+        balancer.client(flow, acknowledged=5, data=b'x')
+    assert not balancer.resets()
+    assert balancer.requested_reads
+    balancer.clock.advance(20)
+    balancer.read()
+    balancer.client(flow, acknowledged=5, data=b'x')
+    assert len(balancer.resets()) == 1
+
+
 def test_only_the_silent_agents_are_asked_again(balancer):
     balancer.client(FLOW, acknowledged=5, data=b'x')
     balancer.end_search(unanswered=['10.0.0.1'])
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -30,6 +30,7 @@
         self.sequence = 0
         self.is_holding_calls = False
         self._held_calls = []
+        self.requested_reads = []
         self.counters = flow_counters.FlowCounters()
         self.path = flow_data_path.FlowDataPath(
             flow_settings.FlowBalancerSettings(
@@ -43,6 +44,7 @@
             send_to_client=lambda data, to: self.to_clients.append((data, to)),
             send_to_agent=self._send_to_agent,
             call_later=self._call_later,
+            request_read=self.requested_reads.append,
         )
         self.servers = [flow_support.make_server(i) for i in range(servers)]
         if is_populated:
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -35,6 +35,8 @@
 LOCAL_DELAY_MS = 0.1
 CLIENT_DELAY_MS = 3.0
 CHECK_INTERVAL_MS = 20
+# Time from the request for a read until it starts.
+READ_DELAY_MS = 50
 # Times after the first copy at which a client sends its opening packet, and
 # the time at which it gives up.
 COPY_DELAYS_MS = (0, 200, 600)
@@ -179,6 +181,7 @@
         self.path = None
         self.counters = None
         self.sent_bytes = 0
+        self._is_read_requested = False
         self.start()
 
     def start(self):
@@ -200,6 +203,7 @@
             send_to_client=fleet.send_to_client,
             send_to_agent=self._send_to_agent,
             call_later=fleet.after,
+            request_read=self._request_read,
         )
         self.read()
         if self._fleet.is_vouched_for:
@@ -227,6 +231,15 @@
         )
         self._view.apply_update(update, self._fleet.clock.monotonic_ms())
 
+    def _request_read(self, _time_ms):
+        if not self._is_read_requested:
+            self._is_read_requested = True
+            self._fleet.after(READ_DELAY_MS, self._read_requested)
+
+    def _read_requested(self):
+        self._is_read_requested = False
+        self.read(self._view.read_revision)
+
     def greet(self):
         if self.path is None:
             return
--- a/tests/flows/test_read_schedule.py
+++ b/tests/flows/test_read_schedule.py
@@ -111,3 +111,26 @@
     balancers.refused.clear()
     balancers.run(WITHDRAWAL_LIMIT_MS)
     assert min(view.age_ms() for view in balancers.views) <= 1_020
+
+
+def test_requested_read_is_due_at_once_and_at_a_limited_rate():
+    balancers = Balancers(1)
+    (view,), (schedule,) = balancers.views, balancers.schedules
+    clock = balancers.clock
+    for _ in range(4):
+        view.confirm(clock.monotonic_ms(), 1)
+        clock.advance(1_000)
+    view.confirm(clock.monotonic_ms(), 1)
+    clock.advance(100)
+    now_ms = clock.monotonic_ms()
+    view.request_confirmation(now_ms)
+    assert schedule.next_read_ms() == now_ms
+    schedule.on_start()
+    clock.advance(10)
+    view.request_confirmation(clock.monotonic_ms())
+    assert (
+        schedule.next_read_ms()
+        == now_ms + read_schedule.REQUESTED_READ_INTERVAL_MS
+    )
+    view.confirm(clock.monotonic_ms(), 1)
+    assert schedule.next_read_ms() > clock.monotonic_ms() + 900
