Move the confirmation of a view to a module of its own

ViewConfirmation keeps these times and answers the questions of the finder, the refusals and the read schedule; FleetView merges entries. No behaviour changes; a requested read does not come before a restored view may settle, as before.

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -271,7 +271,7 @@
         return 200, metrics.render()
 
     def _gauges(self):
-        age_ms = self.view.age_ms()
+        age_ms = self.view.confirmation.age_ms()
         return {
             'flows': self._flow_count(),
             'openings_waiting': len(self.data_path.opener.waiting),
--- a/packages/balancer/src/kingcupport/balancer/flow_refusals.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_refusals.py
@@ -44,7 +44,7 @@
 
     def has_fresh_view(self):
         """Whether the view is fresh enough to refuse unknown routes."""
-        age_ms = self._view.age_ms()
+        age_ms = self._view.confirmation.age_ms()
         return age_ms is not None and age_ms <= MAX_FRESH_VIEW_AGE_MS
 
     def refuse(self, packet, reason, service, **inputs):
@@ -79,7 +79,9 @@
             if len(self._routeless) >= MAX_ROUTELESS_FLOWS:
                 self._routeless.pop(next(iter(self._routeless)))
             first_packet_ms = self._routeless.setdefault(packet.flow, now_ms)
-            has_proof = self._view.is_confirmed_since(first_packet_ms)
+            has_proof = self._view.confirmation.is_confirmed_since(
+                first_packet_ms
+            )
             if not has_proof:
                 self._request_read(first_packet_ms)
         if not has_proof:
@@ -145,5 +147,5 @@
 
     def view_age_ms(self):
         """Return the rounded age of the view for the log, or None."""
-        age_ms = self._view.age_ms()
+        age_ms = self._view.confirmation.age_ms()
         return None if age_ms is None else round(age_ms)
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -136,7 +136,7 @@
             time_ms: The read has to start after this time, on the monotonic
                 clock.
         """
-        self._view.request_confirmation(time_ms)
+        self._view.confirmation.request(time_ms)
         self._read_requested.set()
 
     def _read(self, started_ms):
@@ -270,7 +270,7 @@
             self._send(greeting, (ip, self._settings.peer_address.port))
 
     def _greeting(self, *, wants_reply, echo_ms=-1):
-        age_ms = self._view.age_ms()
+        age_ms = self._view.confirmation.age_ms()
         known = list(self._peers)
         return flow_datagrams.BalancerGreeting(
             self._settings.name,
@@ -279,7 +279,7 @@
             self._view.digest,
             self._view.read_revision,
             -1 if age_ms is None else math.ceil(age_ms),
-            self._view.can_vouch,
+            self._view.confirmation.can_vouch,
             self._schedule.is_reading,
             self.is_leaving,
             wants_reply,
@@ -346,8 +346,10 @@
         view = self._view
         if greeting.echo_ms < 0:
             if (
-                view.confirmed_ms is None
-                or now_ms - greeting.confirmed_age_ms - view.confirmed_ms
+                view.confirmation.confirmed_ms is None
+                or now_ms
+                - greeting.confirmed_age_ms
+                - view.confirmation.confirmed_ms
                 >= MIN_CONFIRMATION_GAIN_MS
             ):
                 self._send_greeting(ip, wants_reply=True)
--- a/packages/balancer/src/kingcupport/balancer/holder_finder.py
+++ b/packages/balancer/src/kingcupport/balancer/holder_finder.py
@@ -201,7 +201,9 @@
         if possible_ips:
             search.packets.clear()
             self._refusals.drop(search.flow, 'holder not found')
-        elif not self._view.is_complete_since(search.first_packet_ms):
+        elif not self._view.confirmation.is_complete_since(
+            search.first_packet_ms
+        ):
             self._searches.wait_for_view(search)
             self._request_read(search.first_packet_ms)
         else:
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -13,19 +13,11 @@
 from kingcupport.flows import flow_route
 from kingcupport.flows import flow_server
 from kingcupport.flows import store_revision
+from kingcupport.flows import view_confirmation
 
 # Removals that are kept to compute differences for peers; the planned fleet
 # has 910 changes a day.
 MAX_TOMBSTONES = 1024
-# A view that was not confirmed for this long has missed more than one read.
-# The source was probably unavailable, and entries may have expired meanwhile.
-MIN_OUTAGE_MS = 2_500
-# Servers whose entries expired during an outage of the source register again
-# within about 2,000 ms of its recovery.
-REREGISTRATION_GRACE_MS = 2_000
-# Time for the last reports and expiries to arrive before a view counts as
-# complete, or takes every entry of a restored store as it is.
-SETTLING_MARGIN_MS = 500
 
 
 @attrs.frozen
@@ -52,11 +44,6 @@
     that its server wrote later, and missing servers are kept. Afterwards the
     view settles: it takes the entries of one full read as they are.
 
-    Entries are also missing for a while after an outage of the store, and a
-    view that has just started cannot tell whether there was one. Until they
-    are back, the view is not complete: that it does not list a server says
-    nothing about the server's flows.
-
     Args:
         clock: Clock.
         server_expiry_ms: Time after which the store drops the entry of a
@@ -68,12 +55,7 @@
         servers: FlowServer by name.
         content_revision: Highest revision of a change to the servers.
         read_revision: Revision of the store up to which the view is complete.
-        confirmed_ms: When the store last confirmed the view, on the monotonic
-            clock; None before the first time.
-        complete_ms: When the view was last known to list every server that may
-            hold flows, on the monotonic clock; None before the first time.
-        wanted_ms: Time since which a decision needs the view confirmed; None
-            if no decision does.
+        confirmation: ViewConfirmation.
         settle_due_ms: When the view has to be read in full to settle after a
             restore, on the monotonic clock; None if it is settled.
     """
@@ -81,8 +63,8 @@
     def __init__(self, clock, server_expiry_ms):
         self._clock = clock
         self._server_expiry_ms = server_expiry_ms
-        self._settling_ms = SETTLING_MARGIN_MS + max(
-            REREGISTRATION_GRACE_MS, server_expiry_ms
+        self._settling_ms = view_confirmation.SETTLING_MARGIN_MS + max(
+            view_confirmation.REREGISTRATION_GRACE_MS, server_expiry_ms
         )
         self.era = 0
         self.settle_due_ms = None
@@ -90,9 +72,7 @@
         self.servers = {}
         self.content_revision = 0
         self.read_revision = 0
-        self.confirmed_ms = None
-        self.complete_ms = None
-        self.wanted_ms = None
+        self.confirmation = view_confirmation.make_view_confirmation(clock)
         # Made when the first peer asks for the configuration.
         self._encoded = None
         # Made when it is asked for after a change.
@@ -102,9 +82,6 @@
         self._pending_removals = {}
         self._rejected_names = set()
         self._grace_end_ms = 0.0
-        self._complete_from_ms = 0.0
-        self._vouch_from_ms = 0.0
-        self._await_missing_entries(clock.monotonic_ms())
         self._callbacks = []
 
     def on_change(self, callback):
@@ -121,23 +98,6 @@
         """Whether a configuration and at least one server are known."""
         return self.configuration.version > 0 and bool(self.servers)
 
-    @property
-    def is_complete(self):
-        """Whether the latest confirmation found the view complete."""
-        return (
-            self.complete_ms is not None
-            and self.complete_ms >= self.confirmed_ms
-        )
-
-    @property
-    def can_vouch(self):
-        """Whether a peer with an equal view lists every server, too.
-
-        After the removal of a server that did not drain, only this view knows
-        that the server may still hold flows.
-        """
-        return self.is_complete and self.confirmed_ms >= self._vouch_from_ms
-
     @property
     def digest(self):
         """Hash of the servers and of the removals that are put off.
@@ -155,52 +115,6 @@
             )
         return self._digest
 
-    def is_complete_since(self, time_ms):
-        """Whether the view lists every server that may hold an earlier flow.
-
-        Only a read that started later shows this: a server may have registered
-        and taken flows just before.
-
-        Args:
-            time_ms: When a packet of the flow arrived, on the monotonic clock.
-        """
-        return self.complete_ms is not None and self.complete_ms >= time_ms
-
-    def is_confirmed_since(self, time_ms):
-        """Whether the configuration is the store's at a time or later.
-
-        Args:
-            time_ms: Time on the monotonic clock.
-        """
-        return self.confirmed_ms is not None and self.confirmed_ms >= time_ms
-
-    def request_confirmation(self, time_ms):
-        """Ask for a confirmation that is not older than a time.
-
-        Args:
-            time_ms: Time on the monotonic clock.
-        """
-        self.wanted_ms = max(self.wanted_ms or time_ms, time_ms)
-
-    @property
-    def wanted_read_ms(self):
-        """When a read can give the requested confirmation, or None."""
-        if self.wanted_ms is None or self.is_complete_since(self.wanted_ms):
-            return None
-        return max(
-            self.wanted_ms, self._complete_from_ms, self.settle_due_ms or 0.0
-        )
-
-    def age_ms(self):
-        """Return the time since the store last confirmed the view.
-
-        Returns:
-            Milliseconds, or None before the first confirmation.
-        """
-        if self.confirmed_ms is None:
-            return None
-        return self._clock.monotonic_ms() - self.confirmed_ms
-
     def apply_update(self, update, started_ms):
         """Merge the result of a read from the source.
 
@@ -329,23 +243,11 @@
         """
         self._enter_era(store_revision.era_of(read_revision))
         self.read_revision = max(self.read_revision, read_revision)
-        if not is_complete and (
-            self.confirmed_ms is None
-            or confirmed_ms - self.confirmed_ms > MIN_OUTAGE_MS
-        ):
-            self._await_missing_entries(confirmed_ms)
-        if is_complete:
-            # A peer that has followed the store for longer knows of no
-            # missing entry.
-            self._complete_from_ms = min(self._complete_from_ms, confirmed_ms)
-        if self.confirmed_ms is not None and confirmed_ms < self.confirmed_ms:
-            return
-        self.confirmed_ms = confirmed_ms
-        if (
-            self.settle_due_ms is None
-            and confirmed_ms >= self._complete_from_ms
-        ):
-            self.complete_ms = confirmed_ms
+        self.confirmation.confirm(
+            confirmed_ms,
+            is_complete=is_complete,
+            is_settled=self.settle_due_ms is None,
+        )
 
     def _enter_era(self, era):
         if era <= self.era:
@@ -354,7 +256,7 @@
         if not (self.servers or self._tombstones or self.configuration.routes):
             return
         now_ms = self._clock.monotonic_ms()
-        self._grace_end_ms = now_ms + REREGISTRATION_GRACE_MS
+        self._grace_end_ms = now_ms + view_confirmation.REREGISTRATION_GRACE_MS
         self.settle_due_ms = now_ms + self._settling_ms
         self._notify('store_restored', era=era, previous_era=previous_era)
 
@@ -364,17 +266,12 @@
             self._notify('view_settled', era=self.era)
 
     def _detect_outage(self):
-        age_ms = self.age_ms()
-        if age_ms is not None and age_ms > MIN_OUTAGE_MS:
+        now_ms = self._clock.monotonic_ms()
+        if self.confirmation.is_after_outage(now_ms):
             self._grace_end_ms = (
-                self._clock.monotonic_ms() + REREGISTRATION_GRACE_MS
+                now_ms + view_confirmation.REREGISTRATION_GRACE_MS
             )
 
-    def _await_missing_entries(self, now_ms):
-        self._complete_from_ms = (
-            now_ms + REREGISTRATION_GRACE_MS + SETTLING_MARGIN_MS
-        )
-
     def _put(self, server, revision):
         known = self.servers.get(server.name)
         last = known or self._tombstones.get(server.name)
@@ -425,10 +322,7 @@
                 self._remove(name, revision)
                 names.add(name)
         for name in names - self._rejected_names:
-            self._complete_from_ms = max(
-                self._complete_from_ms,
-                self._clock.monotonic_ms() + self._server_expiry_ms,
-            )
+            self.confirmation.on_entry_rejected(self._server_expiry_ms)
             self._notify('server_rejected', server=name)
         if update.is_full_read:
             self._rejected_names = names
@@ -484,11 +378,7 @@
             return
         del self.servers[name]
         if not server.is_draining:
-            self._vouch_from_ms = (
-                self._clock.monotonic_ms()
-                + REREGISTRATION_GRACE_MS
-                + SETTLING_MARGIN_MS
-            )
+            self.confirmation.on_server_lost()
         self._tombstones[name] = _Tombstone(revision, server.writing_order)
         if len(self._tombstones) > MAX_TOMBSTONES:
             _, oldest = self._tombstones.popitem(last=False)
--- a/packages/flows/src/kingcupport/flows/read_schedule.py
+++ b/packages/flows/src/kingcupport/flows/read_schedule.py
@@ -103,7 +103,7 @@
 
     def next_read_ms(self):
         """Return the time of the next read, in ms on the monotonic clock."""
-        confirmed_ms = self._view.confirmed_ms
+        confirmed_ms = self._view.confirmation.confirmed_ms
         if confirmed_ms is None:
             due_ms = self._started_ms
         else:
@@ -119,9 +119,12 @@
         if settle_due_ms is not None:
             spread_ms = _name_hash(self._name) % SETTLING_SPREAD_MS
             due_ms = min(due_ms, settle_due_ms + spread_ms)
-        wanted_read_ms = self._view.wanted_read_ms
+        wanted_read_ms = self._view.confirmation.wanted_read_ms
         if wanted_read_ms is not None:
-            earliest_ms = self._last_read_ms + REQUESTED_READ_INTERVAL_MS
+            earliest_ms = max(
+                self._last_read_ms + REQUESTED_READ_INTERVAL_MS,
+                settle_due_ms or 0.0,
+            )
             due_ms = min(due_ms, max(wanted_read_ms, earliest_ms))
         return max(due_ms, self._backoff_until_ms)
 
--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 import pytest
 
-from kingcupport.flows import fleet_view
+from kingcupport.flows import view_confirmation
 
 # A lost flow costs a probe and an answer for each agent, and a search and its
 # result at the balancer.
@@ -122,7 +122,7 @@
     restart(fleet, servers=True, is_vouched_for=False)
     for request in requests:
         fleet.send_again(request)
-    fleet.run(fleet_view.REREGISTRATION_GRACE_MS)
+    fleet.run(view_confirmation.REREGISTRATION_GRACE_MS)
     assert not any(request.reset_ms for request in requests)
     # The last retransmission comes 3 s after the first packet.
     fleet.run(1_500)
--- a/tests/balancer/test_flow_view_sync.py
+++ b/tests/balancer/test_flow_view_sync.py
@@ -3,17 +3,20 @@
 import pytest
 import view_sync_simulation
 
-from kingcupport.flows import fleet_view
+from kingcupport.flows import view_confirmation
 
 COMPLETE_AFTER_MS = (
-    fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+    view_confirmation.REREGISTRATION_GRACE_MS
+    + view_confirmation.SETTLING_MARGIN_MS
 )
 
 
 def make_fleet(balancers=2, servers=4):
     fleet = view_sync_simulation.ViewSyncSimulation(balancers, servers)
     fleet.run(COMPLETE_AFTER_MS + 2_500)
-    assert all(b.view.is_complete for b in fleet.balancers.values())
+    assert all(
+        b.view.confirmation.is_complete for b in fleet.balancers.values()
+    )
     return fleet
 
 
@@ -65,19 +68,19 @@
 
     def check():
         lacks = len(added.view.servers) < 4
-        assert not (added.view.is_complete and lacks)
+        assert not (added.view.confirmation.is_complete and lacks)
 
     fleet.run(1_900, check)
     fleet.put_back(missing)
     fleet.run(3_000, check)
-    assert added.view.is_complete
+    assert added.view.confirmation.is_complete
 
 
 def test_balancer_that_starts_beside_a_complete_one_is_complete_soon():
     fleet = make_fleet()
     added = fleet.add_balancer()
     fleet.run(1_500)
-    assert added.view.is_complete
+    assert added.view.confirmation.is_complete
 
 
 def test_balancer_is_not_complete_by_the_word_of_a_peer_that_lost_a_server():
@@ -89,12 +92,15 @@
     added = fleet.add_balancer()
 
     def check():
-        assert not (added.view.is_complete and name not in added.view.servers)
+        assert not (
+            added.view.confirmation.is_complete
+            and name not in added.view.servers
+        )
 
     fleet.run(800, check)
     fleet.put_back(missing)
     fleet.run(4_000, check)
-    assert added.view.is_complete
+    assert added.view.confirmation.is_complete
 
 
 def test_removal_that_only_a_new_balancer_has_not_read_is_not_skipped():
@@ -124,11 +130,11 @@
         for balancer in fleet.balancers.values():
             view = balancer.view
             assert view.read_revision >= fleet.store.revision_at(
-                view.confirmed_ms
+                view.confirmation.confirmed_ms
             )
         for balancer in never_paused:
             # One read interval, a delay for each rank, and a round trip.
-            assert balancer.view.age_ms() <= 2_000
+            assert balancer.view.confirmation.age_ms() <= 2_000
 
     fleet.run(8_000, check)
 
--- a/tests/balancer/test_flow_view_sync_machine.py
+++ b/tests/balancer/test_flow_view_sync_machine.py
@@ -36,15 +36,15 @@
         live = self.fleet.live_since(now_ms)
         for balancer in self.fleet.balancers.values():
             view = balancer.view
-            if view.confirmed_ms is None:
+            if view.confirmation.confirmed_ms is None:
                 continue
-            confirmed_ms = view.confirmed_ms
+            confirmed_ms = view.confirmation.confirmed_ms
             assert view.read_revision >= self.fleet.store.revision_at(
                 confirmed_ms
             )
             known = self.known.setdefault(balancer.ip, set())
             known.update(view.servers)
-            if view.is_complete:
+            if view.confirmation.is_complete:
                 registered = {
                     name
                     for name, since_ms in live.items()
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -8,6 +8,7 @@
 from kingcupport.common import address
 from kingcupport.flows import fleet_source
 from kingcupport.flows import fleet_view
+from kingcupport.flows import view_confirmation
 from kingcupport.observability import decision_log
 from kingcupport.wire import flow_datagrams
 
@@ -84,10 +85,11 @@
     def settle(self):
         """Read until the view lists every server that may hold flows."""
         self.clock.advance(
-            fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+            view_confirmation.REREGISTRATION_GRACE_MS
+            + view_confirmation.SETTLING_MARGIN_MS
         )
         self.read(self.view.configuration.version)
-        assert self.view.is_complete
+        assert self.view.confirmation.is_complete
 
     def report(self, ip, running=0, boot=1):
         self.sequence += 1
--- a/tests/flows/test_fleet_view.py
+++ b/tests/flows/test_fleet_view.py
@@ -16,6 +16,7 @@
 from kingcupport.flows import fleet_source
 from kingcupport.flows import fleet_view
 from kingcupport.flows import flow_route
+from kingcupport.flows import view_confirmation
 
 
 def make_update(revision, servers=(), *, is_full_read=True, **fields):
@@ -48,7 +49,7 @@
 def test_a_server_that_expired_during_an_outage_has_2_s_to_return(view, clock):
     servers = [flow_support.make_server(i) for i in (1, 2)]
     read(view, clock, make_update(10, servers))
-    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    clock.advance(view_confirmation.MIN_OUTAGE_MS + 1)
     read(view, clock, make_update(20, servers[:1]))
     assert len(view.servers) == 2
     clock.advance(1_000)
@@ -62,7 +63,7 @@
 def test_a_server_that_does_not_return_after_an_outage_is_removed(view, clock):
     servers = [flow_support.make_server(i) for i in (1, 2)]
     read(view, clock, make_update(10, servers))
-    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    clock.advance(view_confirmation.MIN_OUTAGE_MS + 1)
     read(view, clock, make_update(20, servers[:1]))
     for revision in (30, 31, 32):
         clock.advance(1_000)
@@ -75,7 +76,7 @@
 ):
     draining = flow_support.make_server(2, is_draining=True)
     read(view, clock, make_update(10, [draining]))
-    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    clock.advance(view_confirmation.MIN_OUTAGE_MS + 1)
     read(view, clock, make_update(20, []))
     assert not view.servers
 
@@ -202,7 +203,7 @@
     servers = [flow_support.make_server(n) for n in (1, 2)]
     for each in (view, peer):
         read(each, clock, make_update(10, servers))
-    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    clock.advance(view_confirmation.MIN_OUTAGE_MS + 1)
     read(view, clock, make_update(14, servers[:1]))
     assert view.servers == peer.servers
     assert view.digest != peer.digest
@@ -213,18 +214,19 @@
 def test_view_is_complete_once_missing_entries_had_time_to_return(view, clock):
     """Guards review/3: a new view cannot tell whether the store was away."""
     complete_after_ms = (
-        fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+        view_confirmation.REREGISTRATION_GRACE_MS
+        + view_confirmation.SETTLING_MARGIN_MS
     )
     read(view, clock, make_update(10))
     clock.advance(complete_after_ms - 1)
     read(view, clock, make_update(11))
-    assert not view.is_complete
+    assert not view.confirmation.is_complete
     clock.advance(1)
     read(view, clock, make_update(12))
-    assert view.is_complete
-    clock.advance(fleet_view.MIN_OUTAGE_MS + 1)
+    assert view.confirmation.is_complete
+    clock.advance(view_confirmation.MIN_OUTAGE_MS + 1)
     read(view, clock, make_update(13))
-    assert not view.is_complete
+    assert not view.confirmation.is_complete
 
 
 def test_peer_that_knows_of_no_missing_entry_makes_a_view_complete(
@@ -234,16 +236,17 @@
     view.confirm(clock.monotonic_ms() - 5, 10, is_complete=True)
     clock.advance(500)
     view.confirm(clock.monotonic_ms() - 5, 11)
-    assert view.is_complete
+    assert view.confirmation.is_complete
 
 
 def settle(view, clock, servers):
     read(view, clock, make_update(20, servers))
     clock.advance(
-        fleet_view.REREGISTRATION_GRACE_MS + fleet_view.SETTLING_MARGIN_MS
+        view_confirmation.REREGISTRATION_GRACE_MS
+        + view_confirmation.SETTLING_MARGIN_MS
     )
     read(view, clock, make_update(21, servers))
-    assert view.is_complete
+    assert view.confirmation.is_complete
 
 
 def test_invalid_entry_may_hide_a_server_until_it_has_written_again(
@@ -254,13 +257,13 @@
     odd = {'is_full_read': False, 'invalid': [('gate-9', 30)]}
     clock.advance(10)
     read(view, clock, make_update(30, **odd))
-    assert not view.is_complete
+    assert not view.confirmation.is_complete
     for revision in (31, 32, 33):
         clock.advance(1_000)
         odd['invalid'] = [('gate-9', revision)]
         read(view, clock, make_update(revision, **odd))
     # Its server has had time to write; nobody did but the other writer.
-    assert view.is_complete
+    assert view.confirmation.is_complete
 
 
 def test_server_that_has_written_again_replaces_an_invalid_entry(view, clock):
@@ -368,7 +371,9 @@
         for view in self.views:
             for _ in range(3):
                 view.apply_update(newest, self.clock.monotonic_ms())
-                self.clock.advance(fleet_view.REREGISTRATION_GRACE_MS + 1)
+                self.clock.advance(
+                    view_confirmation.REREGISTRATION_GRACE_MS + 1
+                )
                 newest.revision = self._next()
                 view.confirm(self.clock.monotonic_ms(), 0)
             view.apply_update(newest, self.clock.monotonic_ms())
--- a/tests/flows/test_read_schedule.py
+++ b/tests/flows/test_read_schedule.py
@@ -52,7 +52,8 @@
         self.clock.advance(step_ms)
         live = [v for i, v in enumerate(self.views) if i not in self.stopped]
         self.max_age_ms = max(
-            self.max_age_ms, *(view.age_ms() or 0 for view in live)
+            self.max_age_ms,
+            *(view.confirmation.age_ms() or 0 for view in live),
         )
 
     def greet(self, number):
@@ -110,7 +111,7 @@
     balancers.run(8_000)
     balancers.refused.clear()
     balancers.run(WITHDRAWAL_LIMIT_MS)
-    assert min(view.age_ms() for view in balancers.views) <= 1_020
+    assert min(view.confirmation.age_ms() for view in balancers.views) <= 1_020
 
 
 def test_requested_read_is_due_at_once_and_at_a_limited_rate():
@@ -123,11 +124,11 @@
     view.confirm(clock.monotonic_ms(), 1)
     clock.advance(100)
     now_ms = clock.monotonic_ms()
-    view.request_confirmation(now_ms)
+    view.confirmation.request(now_ms)
     assert schedule.next_read_ms() == now_ms
     schedule.on_start()
     clock.advance(10)
-    view.request_confirmation(clock.monotonic_ms())
+    view.confirmation.request(clock.monotonic_ms())
     assert (
         schedule.next_read_ms()
         == now_ms + read_schedule.REQUESTED_READ_INTERVAL_MS
--- a/tests/flows/test_restored_store_machine.py
+++ b/tests/flows/test_restored_store_machine.py
@@ -8,6 +8,7 @@
 from kingcupport.flows import fleet_source
 from kingcupport.flows import fleet_view
 from kingcupport.flows import store_revision
+from kingcupport.flows import view_confirmation
 
 SERVER_EXPIRY_MS = 3_000
 
@@ -116,7 +117,9 @@
         self.entries, self.history = dict(entries), list(history)
         self.era += 1
         now_ms = self.clock.monotonic_ms()
-        self.rewrite_due_ms = now_ms + fleet_view.REREGISTRATION_GRACE_MS - 500
+        self.rewrite_due_ms = (
+            now_ms + view_confirmation.REREGISTRATION_GRACE_MS - 500
+        )
         self.expiry_due_ms = now_ms + SERVER_EXPIRY_MS
 
     @stateful.rule(pause_ms=strategies.sampled_from((100, 700, 5_000)))
@@ -201,9 +204,11 @@
         elif (
             sender.content_revision == receiver.content_revision
             and sender.configuration.version == receiver.configuration.version
-            and sender.confirmed_ms is not None
+            and sender.confirmation.confirmed_ms is not None
         ):
-            receiver.confirm(sender.confirmed_ms, sender.read_revision)
+            receiver.confirm(
+                sender.confirmation.confirmed_ms, sender.read_revision
+            )
 
     @stateful.invariant()
     def nothing_known_becomes_older(self):
--- a/tests/flows/test_restored_view.py
+++ b/tests/flows/test_restored_view.py
@@ -10,9 +10,10 @@
 from kingcupport.flows import fleet_view
 from kingcupport.flows import read_schedule
 from kingcupport.flows import store_revision
+from kingcupport.flows import view_confirmation
 
 SERVER_EXPIRY_MS = 3_000
-SETTLING_MS = SERVER_EXPIRY_MS + fleet_view.SETTLING_MARGIN_MS
+SETTLING_MS = SERVER_EXPIRY_MS + view_confirmation.SETTLING_MARGIN_MS
 
 
 @pytest.fixture
@@ -70,7 +71,7 @@
     read(view, clock, 1, 40, [known])
     read(view, clock, 2, 30)
     assert view.servers
-    clock.advance(fleet_view.REREGISTRATION_GRACE_MS - 1)
+    clock.advance(view_confirmation.REREGISTRATION_GRACE_MS - 1)
     read(view, clock, 2, 32)
     assert view.servers
     clock.advance(2)
