Let the clock count the time for which a machine was suspended

The age of a view that a balancer tells a peer, and the age by which a view counts as fresh, left out the time for which the machine was suspended: CLOCK_MONOTONIC stands still then. An age that is too small is no proof (reset-proofs.md). The clock is now CLOCK_BOOTTIME, so that a suspension looks like any other freeze.

--- a/packages/common/src/kingcupport/common/clock.py
+++ b/packages/common/src/kingcupport/common/clock.py
@@ -35,7 +35,9 @@
     """Clock of the operating system; waits with gevent's timer."""
 
     def monotonic_ms(self):
-        return time.monotonic() * 1000
+        # Counts the time for which the machine was suspended, unlike
+        # time.monotonic().
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
     def utc_ms(self):
         return time.time_ns() // 1_000_000
