Start the numbers of searches at random

A balancer numbered its searches from 1 in each process. A result that arrives late for a former process could carry the number of a search of this one and rule out servers that were never asked; that ends in a reset. By reading only, no run has shown it. The new test fails with the former numbers.

--- a/packages/flows/src/kingcupport/flows/holder_search.py
+++ b/packages/flows/src/kingcupport/flows/holder_search.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import secrets
 
 import attrs
 
@@ -80,7 +81,9 @@
         self._running = {}
         # Those that wait for a view which shows that no server is missing.
         self._waiting = {}
-        self._numbers = itertools.count(1)
+        # A late result for a former process of this balancer names no search
+        # of this one.
+        self._numbers = itertools.count(secrets.randbits(48))
         self.refused_count = 0
 
     def __len__(self):
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -85,3 +85,21 @@
         searches.add_packet(*make_packet(10_000 + number))
     assert searches.get(FLOW) is None
     assert len(searches) == 0
+
+
+def test_searches_of_a_former_process_have_other_numbers():
+    """A late result of an earlier search rules out no server."""
+    numbers = []
+    for _ in range(2):
+        searches = holder_search.make_holder_searches(
+            flow_support.make_clock()
+        )
+        packet = flow_support.FORMAT.read_from_client(
+            flow_support.FORMAT.make(
+                flow_support.make_flow(1), acknowledged=5, data=b'x'
+            )
+        )
+        search = searches.add_packet(packet, b'x')
+        assert searches.start(search, ['10.0.0.1'], '10.0.0.1')
+        numbers.append(search.number)
+    assert numbers[0] != numbers[1]
