--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -35,7 +35,7 @@
     fields = [*ODD_FIELDS, ('address', f'{ip}:70000'), ('address', ip)]
     for number, (key, value) in enumerate(fields):
         entry = {'born': LATER_MS, 'state': 'draining', key: value}
-        harness.store.put_server(f'odd-{number}', ip, port, **entry)
+        harness.store.put_server(f'odd-{ip}-{number}', ip, port, **entry)
     for number, value in enumerate(ODD_VALUES):
         harness.store.put(f'servers/raw-{number}', value)
     harness.store.put('servers/', b'{}')
