Keep new flows away from evacuated data centres

Cause: the operator can evacuate a data centre by the key `op/evacuate/ZONE` of the store, but balancers ignored it and went on to place flows there.

Change: `Evacuations` keeps the qualified revision at which each evacuation began or ended, from full reads, watches and peers, as part of the view. `FlowPlacement` leaves servers of these data centres out also as a last resort; flows without another server are refused at once with the reason `data centre evacuated`. Copies of opening packets move flows that are not accepted, and are ignored for open flows. Rows for peers stand among the removals under packed bytes, which former versions ignore; without an evacuation digest and difference are unchanged. Malformed items and unknown data centres are reported once and change nothing.

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -277,6 +277,7 @@
             'openings_waiting': len(self.data_path.opener.waiting),
             'searches_open': len(self.data_path.finder),
             'servers': len(self.view.servers),
+            'evacuated_data_centres': len(self.view.evacuations.active),
             'configuration_version': self.view.configuration.version,
             'view_age_ms': -1 if age_ms is None else age_ms,
             'view_read_revision': store_revision.number_of(
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -98,7 +98,7 @@
             self.table,
             self.loads,
             flow_placement.make_flow_placement(
-                clock, self.loads, settings.data_centre
+                clock, self.loads, settings.data_centre, view.evacuations
             ),
             self._refusals,
             counters,
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -22,6 +22,7 @@
 
 NO_ROOM = 'no server has room in time'
 NO_SERVER = 'no server takes flows'
+DATA_CENTRE_EVACUATED = 'data centre evacuated'
 
 
 class FlowOpener:
@@ -94,11 +95,21 @@
             self._counters.copies_ignored += 1
         elif entry is None or self._index.is_replaced(entry):
             self._place(packet, data, route)
+        elif self._placement.is_evacuated(entry):
+            self._on_evacuated(entry)
         elif entry.is_accepted or self._is_live(entry):
             self._forward(entry, data)
         else:
             self._place_again(entry, 'server left')
 
+    def _on_evacuated(self, entry):
+        if entry.is_accepted:
+            # The flow is open and stays where it is, but no opening packet may
+            # reach its server.
+            self._counters.copies_ignored += 1
+        else:
+            self._place_again(entry, DATA_CENTRE_EVACUATED)
+
     def on_declined(self, entry, reason):
         """Handle an opening packet that an agent declined.
 
@@ -194,7 +205,9 @@
         service = route.choose_service(packet.flow)
         server = self._choose(packet.flow, service, ())
         if server is None:
-            self._refusals.refuse(packet, NO_SERVER, service)
+            self._refusals.refuse(
+                packet, self._no_server_reason(service), service
+            )
             return
         now_ms = self._clock.monotonic_ms()
         opened_ms = now_ms - packet.opening_age_ms
@@ -235,7 +248,11 @@
     def _place_opening(self, opening, server, limit):
         if server is None:
             packet = self._format.read_from_client(opening.data)
-            self._refusals.refuse(packet, NO_SERVER, opening.service)
+            self._refusals.refuse(
+                packet,
+                self._no_server_reason(opening.service),
+                opening.service,
+            )
             return
         waited_ms = self._clock.monotonic_ms() - opening.queued_ms
         entry = self._register_and_send(
@@ -271,7 +288,11 @@
             packet = self._format.read_from_client(entry.opening_data)
             self._table.forget(entry.flow)
             if packet is not None:
-                self._refusals.refuse(packet, reason, entry.service)
+                self._refusals.refuse(
+                    packet,
+                    self._no_server_reason(entry.service, reason),
+                    entry.service,
+                )
             return
         data = entry.opening_data
         entry = self._table.put(entry.flow, server, opening_data=data)
@@ -309,8 +330,19 @@
         return any(
             self._loads.get(server.ip).is_exact
             and self._loads.is_usable(server.ip)
+            and not self._placement.is_evacuated(server)
+            for server in servers
+        )
+
+    def _no_server_reason(self, service, reason=NO_SERVER):
+        """Return why no server was chosen, or else ``reason``."""
+        servers = self._index.by_service.get(service, ())
+        is_evacuated = any(
+            self._placement.is_evacuated(server)
             for server in servers
+            if not server.is_draining
         )
+        return DATA_CENTRE_EVACUATED if is_evacuated else reason
 
     def _choose(self, flow, service, tried):
         return self._placement.choose(
--- a/packages/flows/src/kingcupport/flows/fleet_source.py
+++ b/packages/flows/src/kingcupport/flows/fleet_source.py
@@ -38,6 +38,10 @@
             revision of its removal.
         invalid: Names of the entries that are no valid server, each with its
             qualified revision.
+        evacuations: For each entry of an evacuation the name of the data
+            centre, whether it is evacuated and the qualified revision.
+        rejected_evacuations: Names of the evacuations that are not valid,
+            each with the reason.
     """
 
     revision: int
@@ -46,6 +50,8 @@
     servers: list = attrs.field(factory=list)
     removed: list = attrs.field(factory=list)
     invalid: list = attrs.field(factory=list)
+    evacuations: list = attrs.field(factory=list)
+    rejected_evacuations: list = attrs.field(factory=list)
 
 
 class FleetSource(abc.ABC):
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -9,6 +9,7 @@
 import msgpack
 import xxhash
 
+from kingcupport.flows import evacuations as evacuations_module
 from kingcupport.flows import fleet_source
 from kingcupport.flows import flow_route
 from kingcupport.flows import flow_server
@@ -53,7 +54,9 @@
         era: Newest known era of the store.
         configuration: FlowConfiguration in force.
         servers: FlowServer by name.
-        content_revision: Highest revision of a change to the servers.
+        evacuations: Evacuations.
+        content_revision: Highest revision of a change to the servers or the
+            evacuations.
         read_revision: Revision of the store up to which the view is complete.
         confirmation: ViewConfirmation.
         settle_due_ms: When the view has to be read in full to settle after a
@@ -70,6 +73,7 @@
         self.settle_due_ms = None
         self.configuration = flow_route.EMPTY_CONFIGURATION
         self.servers = {}
+        self.evacuations = evacuations_module.make_evacuations(self._notify)
         self.content_revision = 0
         self.read_revision = 0
         self.confirmation = view_confirmation.make_view_confirmation(clock)
@@ -100,7 +104,7 @@
 
     @property
     def digest(self):
-        """Hash of the servers and of the removals that are put off.
+        """Hash of the servers, of removals put off and of the evacuations.
 
         Two views of the same content revision may list other servers: a view
         that started later lacks those whose entries were missing then.
@@ -110,9 +114,12 @@
                 flow_server.contents_to_plain(server)
                 for _, server in sorted(self.servers.items())
             ]
-            self._digest = xxhash.xxh3_64_intdigest(
-                msgpack.packb([rows, sorted(self._pending_removals)])
-            )
+            contents = [rows, sorted(self._pending_removals)]
+            if self.evacuations.active:
+                # Left out otherwise: versions without evacuations compare
+                # their digests with this one.
+                contents.append(sorted(self.evacuations.active))
+            self._digest = xxhash.xxh3_64_intdigest(msgpack.packb(contents))
         return self._digest
 
     def apply_update(self, update, started_ms):
@@ -141,6 +148,10 @@
         self._detect_outage()
         if update.is_full_read:
             self._settle_if_due(started_ms)
+        # First, so that no new server is used before it is known that its
+        # data centre is evacuated.
+        self.evacuations.apply(update, is_settled=self.settle_due_ms is None)
+        self._adopt_evacuation_revision()
         if update.configuration is not None:
             self.apply_configuration(update.configuration)
         for server in update.servers:
@@ -192,6 +203,12 @@
         """
         configuration, servers, removed, revision = plain
         self._enter_era(store_revision.era_of(revision))
+        for row in removed:
+            if type(row[0]) is bytes:
+                self.evacuations.apply_row(
+                    row, is_settled=self.settle_due_ms is None
+                )
+        self._adopt_evacuation_revision()
         if configuration:
             self.apply_configuration(
                 flow_route.decode_configuration(configuration)
@@ -200,7 +217,8 @@
             server = flow_server.server_from_plain(item)
             self._put(server, server.revision)
         for name, removed_revision in removed:
-            self._remove(name, removed_revision)
+            if type(name) is not bytes:
+                self._remove(name, removed_revision)
         self._digest = None
         self.content_revision = max(self.content_revision, revision)
 
@@ -222,6 +240,9 @@
             for name, tombstone in self._tombstones.items()
             if tombstone.revision > revision
         ]
+        # All of them: a view may have taken its revision over from a peer that
+        # does not know evacuations.
+        removed += self.evacuations.to_rows()
         configuration = None
         if self.configuration.version > version:
             configuration = self._encoded_configuration()
@@ -253,7 +274,12 @@
         if era <= self.era:
             return
         previous_era, self.era = self.era, era
-        if not (self.servers or self._tombstones or self.configuration.routes):
+        if not (
+            self.servers
+            or self._tombstones
+            or self.evacuations
+            or self.configuration.routes
+        ):
             return
         now_ms = self._clock.monotonic_ms()
         self._grace_end_ms = now_ms + view_confirmation.REREGISTRATION_GRACE_MS
@@ -403,6 +429,12 @@
         self._tombstones.move_to_end(name)
         self.content_revision = max(self.content_revision, revision)
 
+    def _adopt_evacuation_revision(self):
+        self._digest = None
+        self.content_revision = max(
+            self.content_revision, self.evacuations.content_revision
+        )
+
     def _notify(self, kind, **fields):
         for callback in self._callbacks:
             callback(kind, fields)
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from kingcupport.flows import evacuations as evacuations_module
 from kingcupport.flows import opening_queue
 
 # Penalties are expressed as the equivalent number of requests queued ahead of
@@ -37,12 +38,14 @@
         clock: Clock.
         loads: ServerLoads.
         data_centre: Name of the data centre of the balancer.
+        evacuations: Evacuations.
     """
 
-    def __init__(self, clock, loads, data_centre):
+    def __init__(self, clock, loads, data_centre, evacuations):
         self._clock = clock
         self._loads = loads
         self._data_centre = data_centre
+        self._evacuations = evacuations
 
     def choose(self, flow, servers, tried=()):
         """Return the server with the lowest expected wait for a new flow.
@@ -60,7 +63,9 @@
         candidates = [
             server
             for server in servers
-            if not server.is_draining and server.name not in tried
+            if not server.is_draining
+            and server.name not in tried
+            and not self.is_evacuated(server)
         ]
         usable = [s for s in candidates if self._loads.is_usable(s.ip)]
         # Without a usable server, fall back to all that are not leaving: an
@@ -72,6 +77,14 @@
             return None
         return min(eligible, key=lambda server: self._rank(flow, server))
 
+    def is_evacuated(self, server):
+        """Whether the data centre of a server is evacuated.
+
+        Args:
+            server: FlowServer.
+        """
+        return server.data_centre in self._evacuations.active
+
     def slot_limit(self, server, is_late=False):
         """Return the load up to which a server may accept a new flow.
 
@@ -160,12 +173,20 @@
         return (excess + penalty) / server.slots
 
 
-def make_flow_placement(clock, loads, data_centre):
+def make_flow_placement(clock, loads, data_centre, evacuations=None):
     """Return the placement of one balancer.
 
     Args:
         clock: Clock.
         loads: ServerLoads.
         data_centre: Name of the data centre of the balancer.
+        evacuations: Evacuations; no data centre is evacuated without them.
     """
-    return FlowPlacement(clock, loads, data_centre)
+    return FlowPlacement(
+        clock,
+        loads,
+        data_centre,
+        evacuations_module.make_evacuations()
+        if evacuations is None
+        else evacuations,
+    )
--- a/packages/flows/src/kingcupport/flows/flow_table.py
+++ b/packages/flows/src/kingcupport/flows/flow_table.py
@@ -32,6 +32,7 @@
         tried: Names of the servers that did not accept it.
         wait_deadline_ms: When it stops waiting for a server with room, on the
             monotonic clock; None if it has not waited.
+        data_centre: Name of the data centre of its server.
     """
 
     flow: bytes
@@ -46,6 +47,7 @@
     opening_data: bytes = b''
     tried: tuple = ()
     wait_deadline_ms: float | None = None
+    data_centre: str = ''
 
 
 class FlowTable:
@@ -139,6 +141,7 @@
             wait_deadline_ms=(
                 known.wait_deadline_ms if known is not None else None
             ),
+            data_centre=server.data_centre,
         )
         self._entries[flow] = entry
         if len(self._entries) > self._capacity:
--- a/tests/platform/test_explained_failures.py
+++ b/tests/platform/test_explained_failures.py
@@ -54,6 +54,30 @@
     assert int(refusal['fields']['view_age_ms']) < 2_500
 
 
+def test_flow_refused_because_of_an_evacuation(harness):
+    harness.store.put('op/evacuate/dakar', {})
+    gevent.sleep(MAX_CONFIGURATION_DELAY_MS / 1000)
+    client = harness.client()
+    answer = client.open()
+    assert answer[0] & platform_standin.RST
+    found = _explain(harness, _client_address(client))
+    assert _find(
+        found['request'],
+        'flow reset',
+        reason='data centre evacuated',
+        subject='gate',
+    )
+    assert _find(
+        found['beliefs'],
+        'audit',
+        audit_kind='evacuation_started',
+        data_centre='dakar',
+    )
+    harness.store.remove('op/evacuate/dakar')
+    gevent.sleep(MAX_CONFIGURATION_DELAY_MS / 1000)
+    assert harness.serve(1) is not None
+
+
 def test_open_flow_lost_in_a_server_restart(harness):
     client = harness.client()
     client.open()
--- a/tests/view_sync_simulation.py
+++ b/tests/view_sync_simulation.py
@@ -41,6 +41,8 @@
         self.entries = {}
         self.history = []
         self.configuration = flow_support.make_configuration()
+        self.evacuations = {}
+        self._evacuation_events = []
         self.is_down = False
         self.calls = []
         # When each revision was given out.
@@ -67,8 +69,21 @@
         self.entries.pop(name)
         self.history.append((self.revision, name, None))
 
+    def set_evacuated(self, data_centre, *, is_active=True):
+        self._next_revision()
+        self.evacuations.pop(data_centre, None)
+        event = (data_centre, is_active, self.revision)
+        if is_active:
+            self.evacuations[data_centre] = event
+        self._evacuation_events.append(event)
+
     def read_all(self):
-        return self._answer(True, list(self.entries.values()), [])
+        return self._answer(
+            True,
+            list(self.entries.values()),
+            [],
+            list(self.evacuations.values()),
+        )
 
     def read_changes(self, after_revision):
         events = {
@@ -84,12 +99,13 @@
                 for name, (revision, entry) in events.items()
                 if entry is None
             ],
+            [e for e in self._evacuation_events if e[2] > after_revision],
         )
 
     def close(self):
         pass
 
-    def _answer(self, is_full_read, servers, removed):
+    def _answer(self, is_full_read, servers, removed, evacuations):
         if self.is_down:
             raise fleet_source.SourceError('down', step='read', peer=None)
         return fleet_source.FleetUpdate(
@@ -98,17 +114,48 @@
             configuration=self.configuration,
             servers=servers,
             removed=removed,
+            evacuations=evacuations,
         )
 
 
+class _SourceOfOneBalancer(fleet_source.FleetSource):
+    """The store as one balancer reaches it."""
+
+    def __init__(self, balancer, store):
+        self._balancer = balancer
+        self._store = store
+
+    def read_all(self):
+        self._check()
+        return self._store.read_all()
+
+    def read_changes(self, after_revision):
+        self._check()
+        return self._store.read_changes(after_revision)
+
+    def close(self):
+        pass
+
+    def _check(self):
+        if self._balancer.is_turned_away:
+            raise fleet_source.SourceError(
+                'too many calls', step='read', peer=None
+            )
+
+
 class SimulatedBalancer:
-    """The view of one balancer and what keeps it up to date."""
+    """The view of one balancer and what keeps it up to date.
+
+    Attributes:
+        is_turned_away: Whether the store refuses its calls.
+    """
 
     def __init__(self, fleet, number, seeds, name):
         self._fleet = fleet
         self.name = name
         self.ip = f'10.1.0.{number}'
         self.is_paused = False
+        self.is_turned_away = False
         self._inbox = []
         own = address.Address(self.ip, PEER_PORT)
         self.view = fleet_view.make_fleet_view(fleet.clock, EXPIRY_MS)
@@ -123,7 +170,7 @@
             random.Random(number),
             self.view,
             self.schedule,
-            fleet.store,
+            _SourceOfOneBalancer(self, fleet.store),
             self._pull,
             flow_counters.FlowCounters(),
             self._send,
