Read feature switches from the environment; server_pace, shared_admission

Cause: two new features change which server a flow gets and which flow is refused. An operator must be able to leave them off, and off is the default. FlowBalancerSettings and FlowAgentSettings have a frozenset `features`; the platform's programs fill it from KINGCUPPORT_FEATURES, which deploy/system.toml sets for both roles. Nothing reads the features yet.

--- a/packages/agent/src/kingcupport/agent/flow_settings.py
+++ b/packages/agent/src/kingcupport/agent/flow_settings.py
@@ -22,6 +22,7 @@
         max_flow_ms: Age after which a flow may be dropped.
         stop_after_ms: Maximum time for which a stopping agent still forwards
             packets.
+        features: Names of the optional features that are switched on.
     """
 
     name: str
@@ -34,3 +35,4 @@
     is_first_start: bool = False
     max_flow_ms: int = 60_000
     stop_after_ms: int = 4_500
+    features: frozenset = frozenset()
--- a/packages/balancer/src/kingcupport/balancer/flow_settings.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_settings.py
@@ -23,6 +23,7 @@
             routers notice within this time that it is not ready.
         server_expiry_ms: Time after which the store drops the entry of a
             silent server.
+        features: Names of the optional features that are switched on.
     """
 
     name: str
@@ -36,3 +37,4 @@
     max_flow_ms: int = 60_000
     stop_after_ms: int = 2_500
     server_expiry_ms: int = 3_000
+    features: frozenset = frozenset()
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from kingcupport.platform import feature_switches
+
 ROOT = pathlib.Path(__file__).parents[2]
 DEPLOY = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
 NAMES = re.compile(r'[a-z0-9-]+')
+FEATURES = feature_switches.FEATURES_VARIABLE
 
 
 def test_roles_run_programs_that_the_build_installs():
@@ -27,6 +30,13 @@
     assert served == {'front', 'control', 'side'}
 
 
+def test_every_role_sets_the_same_known_features():
+    """Agents report what balancers use, so both need a feature."""
+    values = {role['env'][FEATURES] for role in DEPLOY['roles'].values()}
+    (value,) = values
+    assert value.split(',') == sorted(feature_switches.KNOWN_FEATURES)
+
+
 def test_libraries_are_pinned():
     pins = (ROOT / 'constraints.txt').read_text().lower().split()
     pinned = {pin.partition('==')[0] for pin in pins}
