Hold new flows after a pause until the view is confirmed

Cause: a balancer that was frozen for longer than the bound of evacuations handled the openings that had arrived meanwhile by its old view, before its next read, and could send them to an evacuated data centre.

Change: after a pause of a fifth of `bounds.evacuation_ms` (1 s), opening packets, waiting openings and moves wait until a read that started afterwards, or a peer, has confirmed the view, 250 ms at most. Platforms whose settings lack the bound are as before.

--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -5,6 +5,7 @@
 from kingcupport.balancer import flow_opener
 from kingcupport.balancer import flow_refusals
 from kingcupport.balancer import holder_finder
+from kingcupport.balancer import opening_hold
 from kingcupport.balancer import server_index
 from kingcupport.flows import flow_placement
 from kingcupport.flows import flow_table as flow_table_module
@@ -103,6 +104,9 @@
             self._refusals,
             counters,
             decisions,
+            opening_hold.make_opening_hold(
+                clock, view, request_read, settings.evacuation_ms
+            ),
             find_route=self._find_route,
             forward=self._forward,
             call_later=call_later,
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -38,6 +38,7 @@
         refusals: FlowRefusals.
         counters: FlowCounters.
         decisions: DecisionLog.
+        hold: OpeningHold.
         find_route: ``find_route(flow)`` returns a FlowRoute or None.
         forward: ``forward(entry, data, slot_limit)`` sends a packet to the
             agent of a FlowEntry.
@@ -58,6 +59,7 @@
         refusals,
         counters,
         decisions,
+        hold,
         *,
         find_route,
         forward,
@@ -72,6 +74,7 @@
         self._refusals = refusals
         self._counters = counters
         self._decisions = decisions
+        self._hold = hold
         self._find_route = find_route
         self._forward = forward
         self._call_later = call_later
@@ -90,6 +93,9 @@
             data: Its bytes.
             route: FlowRoute of the flow.
         """
+        if self._hold.is_active():
+            self._hold.put((packet, data, route))
+            return
         entry = self._table.get(packet.flow)
         if packet.flow in self.waiting:
             self._counters.copies_ignored += 1
@@ -117,6 +123,9 @@
             entry: FlowEntry that no server has accepted.
             reason: DeclineReason.
         """
+        if self._hold.is_active():
+            # check_openings moves it afterwards.
+            return
         if reason == flow_datagrams.DeclineReason.BUSY:
             self._on_busy(entry)
         else:
@@ -129,6 +138,8 @@
             ip: Address of the agent.
         """
         self._loads.avoid(ip)
+        if self._hold.is_active():
+            return
         for _, flow, server_name in list(self._pending_openings):
             entry = self._find_unaccepted(flow, server_name)
             if entry is not None and entry.ip == ip:
@@ -136,6 +147,10 @@
 
     def check_openings(self):
         """Move the flows that their servers have not accepted in time."""
+        if self._hold.is_active():
+            return
+        for packet, data, route in self._hold.take_all():
+            self.on_opening(packet, data, route)
         now_ms = self._clock.monotonic_ms()
         while (
             self._pending_openings and self._pending_openings[0][0] <= now_ms
@@ -148,6 +163,8 @@
 
     def check_waiting(self):
         """Place or refuse the flows whose maximum wait has passed."""
+        if self._hold.is_active():
+            return
         for opening in self.waiting.pop_expired():
             if self._is_already_accepted(opening):
                 continue
@@ -169,6 +186,8 @@
             service: Name of a service that has a new load report.
             yields: Whether late flows are placed only after a pause.
         """
+        if self._hold.is_active():
+            return
         while True:
             opening = self.waiting.pop(service)
             if opening is None:
--- a/packages/balancer/src/kingcupport/balancer/flow_settings.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_settings.py
@@ -23,6 +23,8 @@
             routers notice within this time that it is not ready.
         server_expiry_ms: Time after which the store drops the entry of a
             silent server.
+        evacuation_ms: Time after which no opening packet may reach an
+            evacuated data centre; 0 if the platform sets no bound.
     """
 
     name: str
@@ -36,3 +38,4 @@
     max_flow_ms: int = 60_000
     stop_after_ms: int = 2_500
     server_expiry_ms: int = 3_000
+    evacuation_ms: int = 0
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -6,6 +6,7 @@
 import view_sync_simulation
 
 from kingcupport.balancer import flow_opener
+from kingcupport.balancer import opening_hold
 from kingcupport.flows import fleet_source
 from kingcupport.wire import flow_datagrams
 
@@ -16,8 +17,8 @@
 class Harness(balancer_harness.BalancerHarness):
     """Servers 0 and 1 in dakar, the balancer's data centre, 2 in thies."""
 
-    def __init__(self, elsewhere=1):
-        super().__init__(2, is_populated=False)
+    def __init__(self, elsewhere=1, evacuation_ms=0):
+        super().__init__(2, False, evacuation_ms)
         self.servers += [
             flow_support.make_server(2 + i, data_centre='thies')
             for i in range(elsewhere)
@@ -164,6 +165,79 @@
     assert balancer.refusal_reasons() == {flow_opener.DATA_CENTRE_EVACUATED: 1}
 
 
+BOUND_MS = 5_000
+
+
+def pause(balancer, pause_ms=BOUND_MS):
+    """Let the harness run for a while, then pause it."""
+    for _ in range(10):
+        balancer.clock.advance(40)
+        balancer.path.opener.check_openings()
+    balancer.requested_reads.clear()
+    balancer.clock.advance(pause_ms)
+
+
+def test_opening_that_arrived_during_a_pause_waits_for_a_confirmation():
+    """Guards EVAC: a process that was paused has an old view."""
+    balancer = Harness(evacuation_ms=BOUND_MS)
+    balancer.path.opener.check_openings()
+    pause(balancer)
+    balancer.client(FLOW, flow_support.OPEN)
+    balancer.client(FLOW, acknowledged=5)
+    balancer.report('10.0.0.1')
+    balancer.path.opener.check_waiting()
+    balancer.path.opener.check_openings()
+    assert not balancer.sent()
+    assert balancer.requested_reads[0] == balancer.clock.monotonic_ms()
+    balancer.clock.advance(10)
+    balancer.set_evacuated()
+    balancer.path.opener.check_openings()
+    assert [to for _, to in balancer.sent()] == [ELSEWHERE]
+
+
+def test_flows_from_before_a_pause_wait_for_a_confirmation_too():
+    balancer = Harness(evacuation_ms=BOUND_MS)
+    data, ip = balancer.open(FLOW)
+    for server in balancer.servers:
+        balancer.report(server.ip, running=2)
+    balancer.client(flow_support.make_flow(2), flow_support.OPEN)
+    balancer.clock.advance(BOUND_MS)
+    balancer.decline(ip, data, flow_datagrams.DeclineReason.UNAVAILABLE)
+    balancer.path.on_unreachable((ip, balancer_harness.AGENT_PORT))
+    balancer.report('10.0.0.1')
+    balancer.path.opener.check_waiting()
+    balancer.path.opener.check_openings()
+    assert not balancer.sent()
+    balancer.set_evacuated()
+    balancer.report(ELSEWHERE)
+    balancer.path.opener.check_openings()
+    assert {to for _, to in balancer.sent()} == {ELSEWHERE}
+
+
+def test_opening_is_not_held_for_long_while_nobody_confirms_the_view():
+    """The store may be down; then what was known stays in force."""
+    balancer = Harness(evacuation_ms=BOUND_MS)
+    pause(balancer)
+    balancer.client(FLOW, flow_support.OPEN)
+    assert not balancer.sent()
+    balancer.clock.advance(opening_hold.MAX_HOLD_MS)
+    balancer.path.opener.check_openings()
+    assert len(balancer.sent()) == 1
+
+
+@pytest.mark.parametrize(
+    ('evacuation_ms', 'pause_ms'),
+    [(0, 60_000), (BOUND_MS, BOUND_MS * opening_hold.PAUSE_SHARE - 1)],
+)
+def test_short_pauses_and_platforms_without_the_bound_hold_nothing(
+    evacuation_ms, pause_ms
+):
+    balancer = Harness(evacuation_ms=evacuation_ms)
+    pause(balancer, pause_ms)
+    balancer.client(FLOW, flow_support.OPEN)
+    assert len(balancer.sent()) == 1
+
+
 def make_fleet():
     fleet = view_sync_simulation.ViewSyncSimulation(4, 4)
     fleet.run(5_000)
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -22,7 +22,7 @@
 class BalancerHarness:
     """A data path on a manual clock that records the datagrams it sends."""
 
-    def __init__(self, servers=2, is_populated=True):
+    def __init__(self, servers=2, is_populated=True, evacuation_ms=0):
         self.clock = flow_support.make_clock()
         self.view = fleet_view.make_fleet_view(self.clock)
         self.to_clients = []
@@ -35,7 +35,14 @@
         self.counters = flow_counters.FlowCounters()
         self.path = flow_data_path.FlowDataPath(
             flow_settings.FlowBalancerSettings(
-                'b0', 'dakar', OWN, PEER, PROBE, '/ready', AGENT_PORT
+                'b0',
+                'dakar',
+                OWN,
+                PEER,
+                PROBE,
+                '/ready',
+                AGENT_PORT,
+                evacuation_ms=evacuation_ms,
             ),
             self.clock,
             FORMAT,
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -36,6 +36,12 @@
     assert settings.seed_ips == ('10.1.0.10', '10.3.0.7')
     assert settings.is_first_start
     assert settings.max_flow_ms == 60_000
+    assert settings.evacuation_ms == 0
+
+
+def test_bound_of_evacuations_is_optional():
+    text = AGENT_SETTINGS + 'bounds.evacuation_ms=5000\n'
+    assert boot_settings.parse_boot_settings(text).evacuation_ms == 5_000
 
 
 @pytest.mark.parametrize(
@@ -47,6 +53,7 @@
         ('7720,7735', '0,1', 'internal_ports'),
         ('max_flow_s=60', 'max_flow_s=soon', 'max_flow_s'),
         ('max_flow_s=60', 'max_flow_s=nan', 'max_flow_s'),
+        ('max_flow_s=60', 'evacuation_ms=x', 'evacuation_ms'),
     ],
 )
 def test_error_names_the_invalid_key(old, new, key):
