--- a/packages/balancer/src/kingcupport/balancer/flow_settings.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_settings.py
@@ -24,6 +24,8 @@
         server_expiry_ms: Time after which the store drops the entry of a
             silent server.
         features: Names of the optional features that are switched on.
+        evacuation_ms: Time after which no opening packet may reach an
+            evacuated data centre; 0 if the platform sets no bound.
     """
 
     name: str
@@ -38,3 +40,4 @@
     stop_after_ms: int = 2_500
     server_expiry_ms: int = 3_000
     features: frozenset = frozenset()
+    evacuation_ms: int = 0
