Format key=value log lines without the JSON logging library

Cause: the library's general field handling took most of the time of a log line, two of which are written per request, and importing it cost 8 to 11 ms of the 129 to 171 ms of a program's start.

Change: the key=value format has its own formatter; the library is imported for the JSON format only. A test compares the fields of both. The benchmark's public methods get doc strings.

--- a/bench/platform_processes.py
+++ b/bench/platform_processes.py
@@ -69,6 +69,7 @@
             self._on_datagram(data, source)
 
     def close(self):
+        """Stop the task and close the socket."""
         self._task.kill()
         self._sock.close()
 
@@ -117,9 +118,11 @@
         raise TimeoutError('the program is not ready')
 
     def processor_time_s(self):
+        """Return the processor time of the process, in seconds."""
         return process_figures.processor_time_s(self._process.pid)
 
     def stop(self):
+        """Kill the process and wait for its end."""
         self._process.kill()
         self._process.wait()
 
@@ -175,6 +178,7 @@
         return handle
 
     def report(self, ip):
+        """Send a load report of the agent at an address."""
         self.sequence += 1
         report = flow_datagrams.LoadReport(
             1, self.sequence, 'gate', 0, 0, 0, False, False, True
@@ -219,6 +223,7 @@
                     self._send_greeting(ip, True, -1)
 
     def stop(self):
+        """Stop all tasks and close all sockets."""
         gevent.killall(self.tasks)
         for endpoint in (*self.agents.values(), *self.peers.values()):
             endpoint.close()
--- a/packages/observability/src/kingcupport/observability/log.py
+++ b/packages/observability/src/kingcupport/observability/log.py
@@ -1,13 +1,12 @@
 """Structured logging: one line per event, as key=value pairs or JSON."""
 
+import datetime
 import json
 import logging
 import re
 import sys
 
 import gevent
-import pythonjsonlogger.core
-import pythonjsonlogger.json
 
 from kingcupport.common import errors
 
@@ -17,8 +16,10 @@
 DEFAULT_LEVEL = 'info'
 DEFAULT_FORMAT = 'key_value'
 
-_STANDARD_FIELDS = ('levelname', 'name', 'message')
-_RENAMED_FIELDS = {'levelname': 'level', 'name': 'logger', 'message': 'event'}
+# Attributes of every LogRecord; further ones come from a call's ``extra``.
+RECORD_ATTRIBUTES = frozenset(
+    (*vars(logging.makeLogRecord({})), 'message', 'asctime', 'taskName')
+)
 _NEEDS_QUOTES = re.compile(r'[\s"=\\]')
 
 
@@ -48,12 +49,13 @@
 
 
 def _make_formatter(format_name):
-    formatter_class = (
-        _JsonFormatter if format_name == 'json' else _KeyValueFormatter
-    )
-    return formatter_class(
-        _STANDARD_FIELDS, rename_fields=_RENAMED_FIELDS, timestamp='time'
-    )
+    if format_name == 'json':
+        # Imported here because its imports would delay the start of programs
+        # that write key=value pairs.
+        from kingcupport.observability import json_log_formatter
+
+        return json_log_formatter.make_json_log_formatter()
+    return _KeyValueFormatter()
 
 
 def _log_task_error(context, error_type, error, traceback):
@@ -64,51 +66,63 @@
     )
 
 
-class _ErrorFieldsMixin:
-    """Adds the code, reason, step and peer of a KingcupportError."""
+class _KeyValueFormatter(logging.Formatter):
+    """Formats an event as space-separated key=value pairs.
 
-    def add_fields(self, log_data, record, message_dict):
-        super().add_fields(log_data, record, message_dict)
-        time = log_data.pop('time')
-        # The time is the first field, so that lines sort as text.
-        fields = {'time': time.isoformat(timespec='milliseconds'), **log_data}
-        log_data.clear()
-        log_data.update(fields)
-        error = _find_error(record)
+    Writes the same fields in the same order as JsonLogFormatter. Lines are
+    written several times per request, so it does without the library's
+    general field handling, which takes four times as long.
+    """
+
+    def format(self, record):
+        utc = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        fields = {
+            # The time is the first field, so that lines sort as text.
+            'time': utc.isoformat(timespec='milliseconds'),
+            'level': record.levelname,
+            'logger': record.name,
+            'event': record.getMessage(),
+        }
+        if record.exc_info:
+            fields['exc_info'] = self.formatException(record.exc_info)
+        elif record.exc_text:
+            fields['exc_info'] = record.exc_text
+        if record.stack_info:
+            fields['stack_info'] = self.formatStack(record.stack_info)
+        for key, value in record.__dict__.items():
+            if (
+                key not in RECORD_ATTRIBUTES
+                and key != 'time'
+                and not key.startswith('_')
+            ):
+                fields[key] = value
+        error = find_error(record)
         if isinstance(error, errors.KingcupportError):
-            log_data.pop('error', None)
-            log_data.update(_describe_error(error))
+            fields.pop('error', None)
+            fields.update(describe_error(error))
+        return ' '.join(
+            [f'{key}={_format_value(value)}' for key, value in fields.items()]
+        )
 
 
-def _find_error(record):
+def find_error(record):
+    """Return the error that a LogRecord is about, or None."""
     if 'error' in record.__dict__:
         return record.error
     return record.exc_info[1] if record.exc_info else None
 
 
-def _describe_error(error):
+def describe_error(error):
+    """Return the log fields of a KingcupportError."""
     fields = {'code': error.code, 'reason': error.reason, 'step': error.step}
     if error.peer is not None:
         fields['peer'] = str(error.peer)
     return fields
 
 
-class _JsonFormatter(_ErrorFieldsMixin, pythonjsonlogger.json.JsonFormatter):
-    """Formats an event as one JSON object."""
-
-
-class _KeyValueFormatter(
-    _ErrorFieldsMixin, pythonjsonlogger.core.BaseJsonFormatter
-):
-    """Formats an event as space-separated key=value pairs."""
-
-    def jsonify_log_record(self, log_data):
-        return ' '.join(
-            f'{key}={_format_value(value)}' for key, value in log_data.items()
-        )
-
-
 def _format_value(value):
+    if type(value) is int:
+        return str(value)
     if isinstance(value, str):
         text = value
     elif isinstance(value, (dict, list, tuple, bool)) or value is None:
--- a/tests/observability/test_log.py
+++ b/tests/observability/test_log.py
@@ -6,9 +6,11 @@
 
 import gevent
 import pytest
+import pythonjsonlogger.core
 
 from kingcupport.common import errors
 from kingcupport.observability import log
+from kingcupport.observability import log_line
 from kingcupport.observability import log_settings
 
 LOG = logging.getLogger('kingcupport.test')
@@ -126,3 +128,41 @@
     LOG.warning('written')
     (line,) = _lines(stream)
     assert 'event=written' in line
+
+
+def test_both_formats_write_the_same_fields_in_the_same_order(stream):
+    """Guards against fields that only one of the formatters writes."""
+    text = io.StringIO()
+    handlers = {
+        'key_value': stream,
+        'json': text,
+    }
+    for name, target in handlers.items():
+        log.configure_logging(log_settings.LogSettings(format=name), target)
+        error = _SampleError('no reply', step='ask_peer')
+        LOG.error(
+            'request of %s failed',
+            'c',
+            extra={'error': error, 'time': 1, 'running': 2, 'reset': True},
+            exc_info=error,
+            stack_info=True,
+        )
+        LOG.info('event', extra={'error': 'text', 'status': None})
+    for written, reference in zip(_lines(stream), _lines(text), strict=True):
+        expected = json.loads(reference)
+        parsed = log_line.parse_log_line(written, 'test.log')
+        assert parsed.event == expected.pop('event')
+        assert written.startswith('time=20')
+        expected.pop('time')
+        assert list(parsed.fields) == list(expected)
+        for key in set(expected) - {'exc_info', 'stack_info'}:
+            assert parsed.fields[key] in (
+                expected[key],
+                json.dumps(expected[key]),
+            )
+
+
+def test_all_attributes_of_a_record_are_excluded():
+    """Guards against attributes of a LogRecord that become log fields."""
+    reserved = set(pythonjsonlogger.core.RESERVED_ATTRS)
+    assert reserved <= log.RECORD_ATTRIBUTES
