Handle datagrams of flows in the event loop

Cause: in a fleet, packets arrive one by one, and each one woke a task: two switches, and gevent's socket methods around every call. A known flow's packet took 135 us in a balancer, of which its own work is a fifth.

Change: balancers and agents of flows handle datagrams in the callback of the event loop, with the standard library's non-blocking socket. Errors of a handler still end and restart the task; tests cover both ways of receiving.

--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -81,10 +81,10 @@
         """
         self._probes.start()
         loops = (
-            lambda: self._balancer_socket.receive_forever(
+            lambda: self._balancer_socket.receive_in_event_loop(
                 self.data_path.on_balancer_datagram
             ),
-            lambda: self._server_socket.receive_forever(
+            lambda: self._server_socket.receive_in_event_loop(
                 self.data_path.on_server_datagram
             ),
             self._run_checks,
--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -114,10 +114,12 @@
         """
         self._probes.start()
         loops = (
-            lambda: self._client_socket.receive_forever(
+            lambda: self._client_socket.receive_in_event_loop(
                 self.data_path.on_client_datagram
             ),
-            lambda: self._peer_socket.receive_forever(self._on_peer_datagram),
+            lambda: self._peer_socket.receive_in_event_loop(
+                self._on_peer_datagram
+            ),
             self.sync.run_reader,
             self.sync.run_greetings,
             self.sync.run_puller,
--- a/packages/wire/src/kingcupport/wire/datagram_socket.py
+++ b/packages/wire/src/kingcupport/wire/datagram_socket.py
@@ -6,7 +6,7 @@
 import struct
 
 import gevent
-from gevent import socket as gevent_socket
+from gevent import event
 
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 MAX_DATAGRAM_BYTES = 65_536
@@ -36,14 +36,14 @@
     def __init__(self, address, on_unreachable):
         self._on_unreachable = on_unreachable
         family = socket.AF_INET6 if ':' in address.ip else socket.AF_INET
-        self._sock = gevent_socket.socket(family, socket.SOCK_DGRAM)
+        # Not gevent's socket: its methods wait for readability even when
+        # given MSG_DONTWAIT, so reading the error queue would wait for a
+        # datagram instead of an error, and would spin while one is queued.
+        self._sock = socket.socket(family, socket.SOCK_DGRAM)
         _set_receive_buffer(self._sock)
         if family == socket.AF_INET:
             self._sock.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
         self._sock.bind(address.as_tuple())
-        # gevent's blocking methods wait for readability even when given
-        # MSG_DONTWAIT. Reading the error queue with them would wait for a
-        # datagram instead of an error, and would spin while one is queued.
         self._sock.setblocking(False)
         self._readable = gevent.get_hub().loop.io(self._sock.fileno(), 1)
         self.dropped_count = 0
@@ -71,6 +71,50 @@
                 on_datagram(data, source)
             gevent.sleep(0)
 
+    def receive_in_event_loop(self, on_datagram):
+        """Like ``receive_forever``, but calls from the event loop itself.
+
+        This saves two switches between tasks for each wake-up, which take
+        half of the time of receiving one datagram. ``on_datagram`` must not
+        wait for anything: gevent raises an error if it does.
+
+        Args:
+            on_datagram: Called with the bytes and the source's ``(ip,
+                port)``.
+
+        Raises:
+            Exception: Whatever ``on_datagram`` raised; nothing is received
+                afterwards.
+        """
+        failure = event.AsyncResult()
+
+        def receive_batch():
+            try:
+                self._receive_batch(on_datagram)
+            except Exception as error:
+                self._readable.stop()
+                failure.set_exception(error)
+
+        self._readable.start(receive_batch)
+        try:
+            failure.get()
+        finally:
+            self._readable.stop()
+
+    def _receive_batch(self, on_datagram):
+        receive = self._sock.recvfrom
+        for _ in range(MAX_DATAGRAMS_PER_BATCH):
+            try:
+                data, source = receive(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno not in _UNREACHABLE_ERRNOS:
+                    raise
+                self._read_error_queue()
+                continue
+            on_datagram(data, source)
+
     def send(self, data, destination):
         """Send one datagram; drop and count it when the send buffer is full.
 
--- a/tests/wire/test_datagram_socket.py
+++ b/tests/wire/test_datagram_socket.py
@@ -42,15 +42,18 @@
 
 
 @pytest.mark.parametrize('datagrams_at_once', [1, 2, 3])
+@pytest.mark.parametrize(
+    'method', ['receive_forever', 'receive_in_event_loop']
+)
 def test_dead_peer_is_reported_and_others_are_served(
-    sockets, unreachable, datagrams_at_once
+    sockets, unreachable, datagrams_at_once, method
 ):
     # Regression: reading the error queue with gevent's blocking methods either
     # failed with a gevent error or spun at full CPU until the next datagram.
     sender, receiver = sockets
     received = []
     task = gevent.spawn(
-        receiver.receive_forever, lambda data, _: received.append(data)
+        getattr(receiver, method), lambda data, _: received.append(data)
     )
     dead = _closed_port()
     own = receiver._sock.getsockname()
@@ -67,3 +70,33 @@
     assert time.process_time() - started < 0.1
     assert not task.ready()
     task.kill()
+
+
+@pytest.mark.parametrize(
+    'method', ['receive_forever', 'receive_in_event_loop']
+)
+def test_error_of_a_handler_ends_the_task_and_it_can_be_restarted(
+    sockets, method
+):
+    """Guards against an error that is lost or that repeats in a loop."""
+    sender, receiver = sockets
+    received = []
+
+    def handle(data, _source):
+        received.append(data)
+        if data == b'bad':
+            raise ValueError('bad datagram')
+
+    own = receiver._sock.getsockname()
+    task = gevent.spawn(getattr(receiver, method), handle)
+    for data in (b'good', b'bad', b'later'):
+        sender.send(data, own)
+    with pytest.raises(ValueError, match='bad datagram'):
+        task.get(timeout=5)
+    assert received == [b'good', b'bad']
+    task = gevent.spawn(getattr(receiver, method), handle)
+    _wait_until(lambda: received[2:] == [b'later'])
+    task.kill()
+    sender.send(b'after the end', own)
+    gevent.sleep(0.05)
+    assert received[3:] == []
