Encode and decode datagrams of flows with less work per field

Cause: each datagram built an Unpacker and looked its fields up by name.

Change: unpackb, whose error for bytes after the array carries the packet, and one attrgetter per class. Tests pin the bytes to those of earlier releases.

--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import operator
 
 import attrs
 import msgpack
@@ -253,27 +254,54 @@
     ]
 
 
-def _header_fields_by_code():
-    return {
-        code: [(field.name, field.type) for field in _header_fields(class_)]
-        for code, class_ in _classes_by_code.items()
-    }
+@attrs.frozen
+class _DatagramFormat:
+    """How the datagrams with one code are read and written.
+
+    Args:
+        datagram_class: Class of the datagrams.
+        read_values: Returns the header values of a datagram as a tuple.
+        types: Types of the header values, in order.
+        carries_packet: Whether the array is followed by a packet.
+    """
+
+    datagram_class: type
+    read_values: object
+    types: list
+    carries_packet: bool
+
+
+def _make_format(datagram_class):
+    fields = _header_fields(datagram_class)
+    names = [field.name for field in fields]
+    if len(names) > 1:
+        read_values = operator.attrgetter(*names)
+    else:
+        # attrgetter returns a single value without a tuple.
+        def read_values(datagram):
+            return tuple(getattr(datagram, name) for name in names)
+
+    return _DatagramFormat(
+        datagram_class,
+        read_values,
+        [field.type for field in fields],
+        hasattr(datagram_class, 'packet_data'),
+    )
 
 
-_fields_by_code = _header_fields_by_code()
+_formats_by_code = {
+    code: _make_format(class_) for code, class_ in _classes_by_code.items()
+}
 
 
 def encode(datagram):
     """Return the bytes of a datagram of this module."""
     code = datagram.datagram_code
+    format_ = _formats_by_code[code]
     header = msgpack.packb(
-        [
-            FLOW_DATAGRAM_VERSION,
-            code,
-            *[getattr(datagram, name) for name, _ in _fields_by_code[code]],
-        ]
+        (FLOW_DATAGRAM_VERSION, code, *format_.read_values(datagram))
     )
-    return header + getattr(datagram, 'packet_data', b'')
+    return header + datagram.packet_data if format_.carries_packet else header
 
 
 def decode(data):
@@ -282,15 +310,17 @@
     Raises:
         WireError: The bytes are not a valid datagram of this module.
     """
-    unpacker = msgpack.Unpacker(max_buffer_size=len(data) + 1)
-    unpacker.feed(data)
+    rest = b''
     try:
-        array = unpacker.unpack()
+        array = msgpack.unpackb(data)
+    except msgpack.ExtraData as extra:
+        array = extra.unpacked
+        rest = extra.extra
     except (ValueError, msgpack.UnpackException, RecursionError) as error:
         raise _datagram_error(
             f'datagram is not valid msgpack: {error}'
         ) from None
-    if not isinstance(array, list) or len(array) < 2:
+    if type(array) is not list or len(array) < 2:
         raise _datagram_error(
             'datagram is not an array that starts with version and code'
         )
@@ -299,19 +329,18 @@
         raise _datagram_error(
             f'unknown datagram version {common_errors.shorten_repr(version)}'
         )
-    datagram_class = _classes_by_code.get(code) if type(code) is int else None
-    if datagram_class is None:
+    format_ = _formats_by_code.get(code) if type(code) is int else None
+    if format_ is None:
         raise _datagram_error(
             f'unknown datagram code {common_errors.shorten_repr(code)}'
         )
-    types = [type_ for _, type_ in _fields_by_code[code]]
-    if [type(value) for value in values] != types:
+    if [*map(type, values)] != format_.types:
         raise _datagram_error(
             f'datagram with code {code} has fields of the wrong type'
         )
-    datagram = datagram_class(*values)
-    if hasattr(datagram, 'packet_data'):
-        datagram.packet_data = data[unpacker.tell() :]
+    datagram = format_.datagram_class(*values)
+    if format_.carries_packet:
+        datagram.packet_data = bytes(rest)
     return datagram
 
 
--- a/tests/wire/test_flow_datagrams.py
+++ b/tests/wire/test_flow_datagrams.py
@@ -81,3 +81,23 @@
         data = msgpack.packb([1, datagram.datagram_code, *values])
         with pytest.raises(errors.WireError):
             flow_datagrams.decode(data)
+
+
+@pytest.mark.parametrize('datagram', SAMPLES)
+def test_bytes_are_those_of_earlier_releases(datagram):
+    """Guards against a wire format that older processes cannot read."""
+    fields = [field.name for field in attrs.fields(type(datagram))]
+    values = [
+        getattr(datagram, name) for name in fields if name != 'packet_data'
+    ]
+    packet = getattr(datagram, 'packet_data', b'')
+    assert flow_datagrams.encode(datagram) == (
+        msgpack.packb([1, datagram.datagram_code, *values]) + packet
+    )
+
+
+@pytest.mark.parametrize('datagram', SAMPLES[2:])
+def test_bytes_after_a_datagram_without_a_packet_are_ignored(datagram):
+    """Guards against rejecting what earlier releases accept."""
+    data = flow_datagrams.encode(datagram) + b'rest'
+    assert flow_datagrams.decode(data) == datagram
