Prune running requests without copying; do not load OpenSSL

Cause: every look at the number of running requests copied all of them, several times per packet, and importing secrets for one random number loaded OpenSSL.

Change: pruning looks at the oldest request only; os.urandom gives the number.

--- a/packages/flows/src/kingcupport/flows/held_flows.py
+++ b/packages/flows/src/kingcupport/flows/held_flows.py
@@ -1,7 +1,6 @@
 """Tracks the flows of one backend server from the packets at its agent."""
 
 import collections
-import itertools
 
 import attrs
 
@@ -138,10 +137,10 @@
         return len(self._awaiting_request) + len(self._running)
 
     def _prune(self, since_by_flow, oldest_ms):
-        late = itertools.takewhile(
-            lambda item: item[1] < oldest_ms, list(since_by_flow.items())
-        )
-        for flow, _ in late:
+        while since_by_flow:
+            flow, since_ms = next(iter(since_by_flow.items()))
+            if since_ms >= oldest_ms:
+                return
             del since_by_flow[flow]
             held = self._flows.get(flow)
             if held is not None:
--- a/packages/flows/src/kingcupport/flows/holder_search.py
+++ b/packages/flows/src/kingcupport/flows/holder_search.py
@@ -2,7 +2,7 @@
 
 import collections
 import itertools
-import secrets
+import os
 
 import attrs
 
@@ -82,8 +82,8 @@
         # Those that wait for a view which shows that no server is missing.
         self._waiting = {}
         # A late result for a former process of this balancer names no search
-        # of this one.
-        self._numbers = itertools.count(secrets.randbits(48))
+        # of this one. os.urandom, because importing secrets loads OpenSSL.
+        self._numbers = itertools.count(int.from_bytes(os.urandom(6)))
         self.refused_count = 0
 
     def __len__(self):
