Keep compiled patterns and generated methods in the module archive

Cause: compiling regular expressions and the methods that attrs generates took a fifth of the imports of a program, with the same result on every start.

Change: deploy/build records both in the module archive, and the programs use them until they are imported. The module inspect, which attrs imports for functions that the start does not call, is executed at its first use. Without an archive everything is compiled as before; tests cover both.

--- a/deploy/archive_modules.py
+++ b/deploy/archive_modules.py
@@ -24,9 +24,12 @@
     bin_directory = ROOT / 'target/bin'
     sys.path.insert(0, str(bin_directory))
     module_archive = importlib.import_module('module_archive')
+    texts = module_archive.CompiledTexts({}, {})
+    texts.record()
     importlib.import_module(f'kingcupport.platform.{program}_program')
+    texts.restore()
     module_archive.write(
-        bin_directory / f'{program}.modules', list(sys.modules.values())
+        bin_directory / f'{program}.modules', list(sys.modules.values()), texts
     )
 
 
--- a/deploy/bin/kingcupport-platform-agent.py
+++ b/deploy/bin/kingcupport-platform-agent.py
@@ -7,10 +7,11 @@
 
 import module_archive  # noqa: E402
 
-module_archive.install('agent.modules')
+compiled_texts = module_archive.install('agent.modules')
 
 from kingcupport.platform import agent_program  # noqa: E402
 
+compiled_texts.restore()
 gc.enable()
 gc.freeze()
 agent_program.main()
--- a/deploy/bin/kingcupport-platform-balancer.py
+++ b/deploy/bin/kingcupport-platform-balancer.py
@@ -7,10 +7,11 @@
 
 import module_archive  # noqa: E402
 
-module_archive.install('balancer.modules')
+compiled_texts = module_archive.install('balancer.modules')
 
 from kingcupport.platform import balancer_program  # noqa: E402
 
+compiled_texts.restore()
 gc.enable()
 gc.freeze()
 balancer_program.main()
--- a/tests/deploy/test_module_archive.py
+++ b/tests/deploy/test_module_archive.py
@@ -84,3 +84,79 @@
     result = run_python(root, READ_SCRIPT)
     assert result.stdout.startswith('changed later')
     assert 'module archive ignored' in result.stderr
+
+
+COMPILED_MODULE = """
+from __future__ import annotations
+import inspect
+import re
+WORD = re.compile(r'(?P<first>[a-z])\\w*', re.IGNORECASE)
+BYTES = re.compile(rb'[0-9]+')
+TEXT = 'def add(a: missing, b=2):\\n    return a + b'
+exec(compile(TEXT, '<made>', 'exec'))
+"""
+RECORD_SCRIPT = """
+import sys
+sys.path[:0] = ['bin', 'deps']
+import module_archive
+texts = module_archive.CompiledTexts({}, {})
+texts.record()
+import parcel.compiled
+texts.restore()
+module_archive.write(
+    'bin/test.modules', list(sys.modules.values()), texts
+)
+"""
+COMPILED_SCRIPT = """
+import sys
+sys.path[:0] = ['bin', 'deps']
+import builtins, re._compiler
+def fail(*arguments):
+    raise AssertionError(f'compiled again: {arguments}')
+plain = builtins.compile, re._compiler.compile
+import module_archive
+builtins.compile = re._compiler.compile = fail
+texts = module_archive.install('test.modules')
+import parcel.compiled as module
+print('signature' in vars(module.inspect))
+texts.restore()
+assert (builtins.compile, re._compiler.compile) == (fail, fail)
+builtins.compile, re._compiler.compile = plain
+print(module.WORD.match('Thing')['first'], module.WORD.flags)
+print(module.WORD == re.compile(r'(?P<first>[a-z])\\w*', re.IGNORECASE))
+print(module.BYTES.findall(b'1 22'), module.add(1), module.add.__annotations__)
+print(module.inspect.signature(module.add))
+"""
+
+
+def test_compiled_texts_are_the_same_as_compiled_again(root):
+    """Guards against patterns or methods that differ from the original."""
+    (root / 'deps/parcel/compiled.py').write_text(COMPILED_MODULE)
+    run_python(root, RECORD_SCRIPT)
+    result = run_python(root, COMPILED_SCRIPT)
+    assert result.stdout.splitlines() == [
+        'False',
+        'T 34',
+        'True',
+        "[b'1', b'22'] 3 {'a': 'missing'}",
+        "(a: 'missing', b=2)",
+    ]
+    assert not result.stderr
+
+
+def test_program_without_an_archive_compiles_texts_itself(root):
+    """Guards against a start that fails because the archive is missing."""
+    (root / 'deps/parcel/compiled.py').write_text(COMPILED_MODULE)
+    (root / 'bin/test.modules').unlink()
+    script = """
+import sys
+sys.path[:0] = ['bin', 'deps']
+import module_archive
+texts = module_archive.install('test.modules')
+import parcel.compiled
+texts.restore()
+print(parcel.compiled.add(1))
+"""
+    result = run_python(root, script)
+    assert result.stdout == '3\n'
+    assert 'module archive ignored' in result.stderr
