Simulate a total outage with the store's entries and history

Cause: after a loss of all power, a lost flow is reset 2.5 s after the first read, because entries of live servers may be missing. No test showed that in the size of the deployments: the simulation set the views, and had no store.

Change: FlowFleetSimulation can have a store (StoreModel of the view simulation): servers register under new names and write every 770 ms, silent entries expire, and balancers read and greet with the product's FlowViewSync. StoreModel answers reads of its history.

--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -116,6 +116,37 @@
     assert len(in_time) >= 0.97 * len(fresh)
 
 
+def test_clients_learn_soon_of_a_total_outage():
+    """Guards hard-load 3: resets waited 2.5 s for entries of an outage."""
+    fleet, requests = make_fleet(
+        1, 2_000, balancers=22, servers=65, has_store=True
+    )
+    fleet.run(4_000)
+    fleet.lose_power(900)
+    fleet.messages.clear()
+    returned_ms = fleet.clock.monotonic_ms()
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(MAX_NOTICE_MS)
+    late = [request for request in requests if request.reset_ms is None]
+    assert not late
+    check_datagrams(fleet, requests)
+    fleet.run(returned_ms + 1_000 - fleet.clock.monotonic_ms())
+    fresh = []
+    for _ in range(100):
+        fresh.append(fleet.ask())
+        fleet.run(4)
+    fleet.run(1_000)
+    in_time = [
+        request
+        for request in fresh
+        if request.answered_ms is not None
+        and request.answered_ms - request.asked_ms <= fleet.target_ms
+    ]
+    assert len(in_time) >= 0.97 * len(fresh)
+    assert not fleet.untrue_resets
+
+
 def test_no_flow_is_reset_before_the_entries_show_all_servers():
     """Guards review/3: after an outage, entries may be missing for 2 s."""
     fleet, requests = make_fleet(7, 50, balancers=2, servers=10)
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -12,6 +12,7 @@
 
 import attrs
 import flow_support
+import view_sync_simulation
 
 from kingcupport.agent import flow_counters as agent_counters
 from kingcupport.agent import flow_data_path as agent_data_path
@@ -23,6 +24,7 @@
 from kingcupport.common import address
 from kingcupport.flows import fleet_source
 from kingcupport.flows import fleet_view
+from kingcupport.flows import read_schedule
 from kingcupport.observability import decision_log
 from kingcupport.wire import flow_datagrams
 
@@ -43,6 +45,12 @@
 OPEN_TIMEOUT_MS = 1_400
 RETRANSMISSION_DELAYS_MS = (200, 600, 1_400, 3_000)
 MAX_ATTEMPTS = 3
+# Interval at which a server writes its entry, and a silent one expires.
+HEARTBEAT_INTERVAL_MS = 770
+ENTRY_EXPIRY_MS = 3 * HEARTBEAT_INTERVAL_MS
+# Servers write their entries for the first time within this time.
+MAX_REGISTRATION_DELAY_MS = 300
+STORE_CHECK_INTERVAL_MS = 10
 
 
 class SimulatedServer:
@@ -116,9 +124,39 @@
         self.ip = self.entry.ip
         self.path = None
         self.server = None
+        self.is_reporting = False
         self.start_server()
         self.start_agent(is_first_start=True)
 
+    def register(self):
+        """Register the server in the store under a new name."""
+        now_ms = int(self._fleet.clock.monotonic_ms())
+        self.entry = attrs.evolve(
+            self.entry,
+            name=f'{self.ip}-{now_ms}',
+            boot_utc_ms=now_ms,
+            sequence=0,
+        )
+        self.is_reporting = True
+        self._fleet.after(
+            self._fleet.rng.uniform(0, MAX_REGISTRATION_DELAY_MS),
+            self._report,
+            self.entry.name,
+        )
+
+    def _report(self, name):
+        if self.is_reporting and self.entry.name == name:
+            self.entry = attrs.evolve(
+                self.entry, sequence=self.entry.sequence + 1
+            )
+            self._fleet.write_entry(self.entry)
+            self._fleet.after(HEARTBEAT_INTERVAL_MS, self._report, name)
+
+    def lose_power(self):
+        self.is_reporting = False
+        self.stop_agent()
+        self.start_server()
+
     def start_server(self):
         self.server = SimulatedServer(
             self._fleet, self, self._slots, self._mean_work_ms
@@ -182,6 +220,8 @@
         self.counters = None
         self.sent_bytes = 0
         self._is_read_requested = False
+        self.is_paused = False
+        self.sync = None
         self.start()
 
     def start(self):
@@ -190,11 +230,13 @@
         peer = address.Address(self.ip, PEER_PORT)
         probe = address.Address(self.ip, PROBE_PORT)
         self.counters = balancer_counters.FlowCounters()
-        self._view = fleet_view.make_fleet_view(fleet.clock)
+        self._view = fleet_view.make_fleet_view(fleet.clock, ENTRY_EXPIRY_MS)
+        settings = balancer_settings.FlowBalancerSettings(
+            self.ip, 'dakar', own, peer, probe, '/ready', AGENT_PORT
+        )
+        settings.seed_ips = fleet.seed_ips
         self.path = balancer_data_path.FlowDataPath(
-            balancer_settings.FlowBalancerSettings(
-                self.ip, 'dakar', own, peer, probe, '/ready', AGENT_PORT
-            ),
+            settings,
             fleet.clock,
             FORMAT,
             self._view,
@@ -205,6 +247,9 @@
             call_later=fleet.after,
             request_read=self._request_read,
         )
+        if fleet.store is not None:
+            self._start_sync(settings)
+            return
         self.read()
         if self._fleet.is_vouched_for:
             self._view.confirm(
@@ -231,7 +276,56 @@
         )
         self._view.apply_update(update, self._fleet.clock.monotonic_ms())
 
-    def _request_read(self, _time_ms):
+    def _start_sync(self, settings):
+        clock = self._fleet.clock
+        rng = random.Random(self._fleet.rng.random())
+        self.sync = flow_view_sync.FlowViewSync(
+            settings,
+            clock,
+            rng,
+            self._view,
+            read_schedule.make_read_schedule(clock, rng, self.ip, self._view),
+            self._fleet.store,
+            self._pull,
+            self.counters,
+            self._send_to_peer,
+        )
+        self.sync.greet()
+        self.check_store()
+
+    def check_store(self):
+        if self.path is not None and not self.is_paused:
+            self.sync.read_if_due()
+            self.sync.pull_if_requested()
+
+    def _send_to_peer(self, data, destination):
+        self._fleet.after(
+            ONE_WAY_DELAY_MS,
+            self._fleet.greet_peer,
+            data,
+            self.ip,
+            *destination,
+        )
+
+    def on_greeting(self, data, ip):
+        if self.path is not None and not self.is_paused:
+            self.sync.on_greeting(flow_datagrams.decode(data), ip)
+
+    def _pull(self, ip):
+        peer = self._fleet.balancers_by_ip[ip]
+        if peer.path is None or peer.is_paused:
+            return False
+        self._view.apply_difference(
+            peer._view.difference_since(
+                self._view.configuration.version, self._view.content_revision
+            )
+        )
+        return True
+
+    def _request_read(self, time_ms):
+        if self.sync is not None:
+            self.sync.request_read(time_ms)
+            return
         if not self._is_read_requested:
             self._is_read_requested = True
             self._fleet.after(READ_DELAY_MS, self._read_requested)
@@ -241,9 +335,12 @@
         self.read(self._view.read_revision)
 
     def greet(self):
-        if self.path is None:
+        if self.path is None or self.is_paused:
             return
-        self.read(self._view.read_revision)
+        if self.sync is not None:
+            self.sync.greet()
+        else:
+            self.read(self._view.read_revision)
         interval_ms = max(
             flow_view_sync.GREETING_INTERVAL_MS,
             1_000
@@ -260,14 +357,14 @@
             self._send_to_agent(greeting, (node.ip, AGENT_PORT))
 
     def check(self):
-        if self.path is None:
+        if self.path is None or self.is_paused:
             return
         self.path.opener.check_openings()
         self.path.opener.check_waiting()
         self.path.finder.check_searches()
 
     def on_client_datagram(self, data):
-        if self.path is not None:
+        if self.path is not None and not self.is_paused:
             self.path.on_client_datagram(data, None)
 
     def on_agent_datagram(self, data, ip):
@@ -324,8 +421,12 @@
         target_ms: Latency target of the route.
         timeout_ms: Time after which a client gives up a request.
         loss: Share of the datagrams between balancers and agents that is lost.
+        has_store: Whether the servers write their entries to a store, from
+            which the balancers read their views.
 
     Attributes:
+        store: StoreModel, or None.
+        seed_ips: Addresses of balancers that each balancer greets.
         messages: Number of datagrams between balancers and agents, by class.
         is_vouched_for: Whether a balancer that starts learns from a peer that
             its view lists every server.
@@ -346,8 +447,11 @@
         target_ms=200,
         timeout_ms=5_000,
         loss=0.0,
+        has_store=False,
     ):
         self.loss = loss
+        self.store = None
+        self.seed_ips = ()
         self.odd_entries = []
         self.is_vouched_for = False
         self.timeout_ms = timeout_ms
@@ -366,6 +470,8 @@
             for number in range(servers)
         ]
         self.nodes_by_ip = {node.ip: node for node in self.nodes}
+        if has_store:
+            self._add_store()
         self.balancers = [
             SimulatedBalancer(self, number) for number in range(balancers)
         ]
@@ -375,6 +481,48 @@
         self.greet()
         self.run(10)
 
+    def _add_store(self):
+        self.store = view_sync_simulation.StoreModel(self.clock)
+        self.store.configuration = flow_support.make_configuration(
+            target_ms=self.target_ms, timeout_ms=self.timeout_ms
+        )
+        self.seed_ips = ('10.1.0.1', '10.1.0.2', '10.1.0.3')
+        self._written_ms = {}
+        for node in self.nodes:
+            node.register()
+        self.run(MAX_REGISTRATION_DELAY_MS)
+        self._run_periodically(STORE_CHECK_INTERVAL_MS, self._check_store)
+
+    def write_entry(self, entry):
+        self.store.write(entry)
+        if not self.store.is_down:
+            self._written_ms[entry.name] = self.clock.monotonic_ms()
+
+    def greet_peer(self, data, source_ip, ip, _port):
+        self.balancers_by_ip[ip].on_greeting(data, source_ip)
+
+    def _check_store(self):
+        now_ms = self.clock.monotonic_ms()
+        for name in list(self.store.entries):
+            if now_ms - self._written_ms[name] >= ENTRY_EXPIRY_MS:
+                self.store.remove(name)
+        for balancer in self.balancers:
+            balancer.check_store()
+
+    def lose_power(self, duration_ms):
+        """Stop all instances and start them again with new processes."""
+        for node in self.nodes:
+            node.lose_power()
+        for balancer in self.balancers:
+            balancer.stop()
+        self.run(duration_ms)
+        for node in self.nodes:
+            node.start_agent()
+            node.register()
+        for balancer in self.balancers:
+            balancer.start()
+        self.greet()
+
     def after(self, delay_ms, action, *arguments):
         time_ms = self.clock.monotonic_ms() + delay_ms
         heapq.heappush(
--- a/tests/view_sync_simulation.py
+++ b/tests/view_sync_simulation.py
@@ -32,6 +32,7 @@
 
     Attributes:
         is_down: Whether calls fail and writes are refused.
+        oldest_kept_revision: Revision from which the history is kept.
         calls: ``(time, name of the balancer)`` of the successful calls.
     """
 
@@ -42,6 +43,7 @@
         self.history = []
         self.configuration = flow_support.make_configuration()
         self.is_down = False
+        self.oldest_kept_revision = 0
         self.calls = []
         # When each revision was given out.
         self._times_ms = [clock.monotonic_ms()]
@@ -86,6 +88,20 @@
             ],
         )
 
+    def read_history(self, after_revision, revision):
+        if self.is_down:
+            raise fleet_source.SourceError('down', step='read', peer=None)
+        if after_revision < self.oldest_kept_revision:
+            raise fleet_source.HistoryLostError('gone', step='read', peer=None)
+        assert revision <= self.revision
+        history = fleet_source.FleetHistory(after_revision, self.revision)
+        for written, name, entry in self.history:
+            if written > after_revision and entry is not None:
+                history.servers.append(entry)
+            elif written > after_revision:
+                history.removed.append((name, written))
+        return history
+
     def close(self):
         pass
 
