--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -147,6 +147,169 @@
     assert not fleet.untrue_resets
 
 
+def make_powered_fleet(seed, flows=60, **fields):
+    """Return a fleet with a store whose history is long enough."""
+    values = {'balancers': 3, 'servers': 12, 'has_store': True}
+    fleet, requests = make_fleet(seed, flows, **values | fields)
+    fleet.run(8_000)
+    return fleet, requests
+
+
+def history_counts(fleet):
+    return (
+        sum(b.counters.history_reads for b in fleet.balancers),
+        sum(b.counters.histories_proven for b in fleet.balancers),
+    )
+
+
+@pytest.mark.parametrize(
+    ('duration_ms', 'pause_ms'),
+    [(300, 0), (900, 0), (2_000, 0), (2_500, 1_100), (5_000, 1_100)],
+)
+def test_clients_learn_soon_after_any_loss_of_power(duration_ms, pause_ms):
+    """After 2.3 s without power, all entries from before it have expired.
+
+    The first view then lists no server, and the balancers are ready after the
+    next read only.
+    """
+    fleet, requests = make_powered_fleet(8)
+    fleet.lose_power(duration_ms)
+    fleet.run(pause_ms)
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(MAX_NOTICE_MS)
+    assert all(request.reset_ms is not None for request in requests)
+    assert not fleet.untrue_resets
+
+
+def test_history_is_not_read_at_a_start_without_lost_flows():
+    fleet, _ = make_powered_fleet(9, flows=3)
+    fleet.lose_power(900)
+    fleet.run(3_000)
+    assert history_counts(fleet) == (0, 0)
+
+
+def check_nobody_is_reset_early(fleet, requests):
+    """Check that the wait for missing entries applies."""
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(view_confirmation.REREGISTRATION_GRACE_MS)
+    reads, proven = history_counts(fleet)
+    assert reads > 0
+    assert proven == 0
+    assert not any(request.reset_ms for request in requests)
+    fleet.run(1_500)
+    assert all(request.reset_ms is not None for request in requests)
+
+
+def test_wait_applies_if_the_history_is_gone():
+    fleet, requests = make_powered_fleet(10)
+    fleet.lose_power(900)
+    fleet.store.oldest_kept_revision = fleet.store.revision
+    check_nobody_is_reset_early(fleet, requests)
+
+
+def test_wait_applies_if_the_history_is_too_short():
+    fleet, requests = make_fleet(
+        11, 60, balancers=3, servers=12, has_store=True
+    )
+    for node in fleet.nodes:
+        node.register()
+    fleet.run(2_000)
+    fleet.lose_power(900)
+    check_nobody_is_reset_early(fleet, requests)
+
+
+def test_wait_applies_if_the_read_of_the_history_fails():
+    fleet, requests = make_powered_fleet(12)
+    fleet.lose_power(900)
+    fleet.store.is_history_refused = True
+    check_nobody_is_reset_early(fleet, requests)
+
+
+@pytest.mark.parametrize('outage_ms', [2_700, 4_000, 9_000])
+@pytest.mark.parametrize('restarted', ['balancers', 'others'])
+def test_live_server_whose_entry_expired_in_an_outage_is_not_reset(
+    outage_ms, restarted
+):
+    """The store is away, then all processes but one server's are new."""
+    fleet, requests = make_powered_fleet(13)
+    survivors = fleet.nodes if restarted == 'balancers' else fleet.nodes[:1]
+    fleet.store.is_down = True
+    fleet.run(outage_ms)
+    for node in fleet.nodes:
+        if node not in survivors:
+            node.lose_power()
+            node.start_agent()
+            node.register()
+    for node in survivors:
+        node.start_agent()
+        # Its next write comes last of all.
+        node.delay_report(1_900)
+    fleet.store.is_down = False
+    for balancer in fleet.balancers:
+        balancer.stop()
+        balancer.start()
+    fleet.greet()
+    held = [request for request in requests if fleet.is_held(request)]
+    assert held
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(6_000)
+    assert not fleet.untrue_resets
+    assert not any(request.reset_ms for request in held)
+
+
+@pytest.mark.parametrize('refused_ms', [2_500, 6_000, 15_000])
+def test_server_that_the_store_has_refused_is_not_reset(refused_ms):
+    """A counterexample to the number of writes alone.
+
+    The store turns one server away for longer than its history is read; it
+    comes back just after all other processes have restarted.
+    """
+    fleet, requests = make_powered_fleet(14)
+    survivor = fleet.nodes[0]
+    survivor.is_reporting = False
+    fleet.run(refused_ms)
+    for node in fleet.nodes[1:]:
+        node.start_server()
+        node.start_agent()
+    for balancer in fleet.balancers:
+        balancer.stop()
+        balancer.start()
+    fleet.greet()
+    held = [request for request in requests if fleet.is_held(request)]
+    assert held
+    fleet.after(1_500, survivor.resume_reporting)
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(6_000)
+    assert not fleet.untrue_resets
+
+
+def test_balancer_that_was_frozen_in_an_outage_resets_no_held_flow():
+    """Its view is old, and the entries are still missing when it wakes."""
+    fleet, requests = make_powered_fleet(15)
+    frozen = fleet.balancers[0]
+    frozen.is_paused = True
+    fleet.store.is_down = True
+    fleet.run(5_000)
+    for node in fleet.nodes:
+        node.delay_report(1_500)
+    fleet.store.is_down = False
+    for balancer in fleet.balancers[1:]:
+        balancer.stop()
+        balancer.start()
+    frozen.is_paused = False
+    fleet.nodes[3].start_agent()
+    for request in requests:
+        request.balancer = frozen
+        fleet.send_again(request)
+    fleet.run(5_000)
+    assert not fleet.untrue_resets
+    assert not any(request.reset_ms for request in requests)
+
+
 def test_no_flow_is_reset_before_the_entries_show_all_servers():
     """Guards review/3: after an outage, entries may be missing for 2 s."""
     fleet, requests = make_fleet(7, 50, balancers=2, servers=10)
--- a/tests/platform/test_store_source.py
+++ b/tests/platform/test_store_source.py
@@ -266,3 +266,68 @@
         with pytest.raises(fleet_source.SourceError):
             source.read_all()
     server.stop()
+
+
+def test_history_has_every_write_and_removal(store, source):
+    first = source.read_all().revision
+    for number in (1, 2, 1):
+        store.put_server(f'i-{number}', f'10.0.0.{number}', 80)
+    store.remove('servers/i-2')
+    store.put('servers/i-3', b'{')
+    store.put_configuration()
+    last = store.qualified_revision
+    history = source.read_history(first, last)
+    assert [server.name for server in history.servers] == ['i-1', 'i-2', 'i-1']
+    assert [name for name, _ in history.removed] == ['i-2']
+    assert [name for name, _ in history.invalid] == ['i-3']
+    assert (history.after_revision, history.revision) == (first, last)
+    assert store.calls.count('/api/kv-watch') == 1
+
+
+def test_history_is_continued_where_a_part_of_it_ends(store, source):
+    store.part_size = 4
+    first = source.read_all().revision
+    for number in range(10):
+        store.put_server(f'i-{number}', f'10.0.0.{number}', 80)
+    history = source.read_history(first, store.qualified_revision)
+    assert len(history.servers) == 10
+    assert store.calls.count('/api/kv-watch') == 3
+
+
+def test_history_in_too_many_parts_is_an_error(store, source):
+    store.part_size = 1
+    first = source.read_all().revision
+    for _ in range(store_source.MAX_HISTORY_CALLS + 1):
+        store.put_server('i-1', '10.0.0.1', 80)
+    with pytest.raises(fleet_source.SourceError):
+        source.read_history(first, store.qualified_revision)
+    calls = store.calls.count('/api/kv-watch')
+    assert calls == store_source.MAX_HISTORY_CALLS
+
+
+def test_history_that_is_gone_raises_history_lost_error(store, source):
+    first = source.read_all().revision
+    store.put_server('i-1', '10.0.0.1', 80)
+    store.forget_history()
+    store.put_server('i-1', '10.0.0.1', 80)
+    with pytest.raises(fleet_source.HistoryLostError):
+        source.read_history(first, store.qualified_revision)
+
+
+def test_history_of_another_era_raises_history_lost_error(store, source):
+    copy = store.take_copy()
+    first = source.read_all().revision
+    store.put_server('i-1', '10.0.0.1', 80)
+    last = store.qualified_revision
+    store.restore(copy)
+    store.put_server('i-1', '10.0.0.1', 80)
+    with pytest.raises(fleet_source.HistoryLostError):
+        source.read_history(first, last)
+
+
+def test_history_of_a_failing_store_is_an_error(store, source):
+    first = source.read_all().revision
+    store.put_server('i-1', '10.0.0.1', 80)
+    store.status = 503
+    with pytest.raises(fleet_source.SourceError):
+        source.read_history(first, store.qualified_revision)
--- a/tests/view_sync_simulation.py
+++ b/tests/view_sync_simulation.py
@@ -32,6 +32,7 @@
 
     Attributes:
         is_down: Whether calls fail and writes are refused.
+        is_history_refused: Whether reads of the history fail.
         oldest_kept_revision: Revision from which the history is kept.
         calls: ``(time, name of the balancer)`` of the successful calls.
     """
@@ -43,6 +44,7 @@
         self.history = []
         self.configuration = flow_support.make_configuration()
         self.is_down = False
+        self.is_history_refused = False
         self.oldest_kept_revision = 0
         self.calls = []
         # When each revision was given out.
@@ -89,7 +91,7 @@
         )
 
     def read_history(self, after_revision, revision):
-        if self.is_down:
+        if self.is_down or self.is_history_refused:
             raise fleet_source.SourceError('down', step='read', peer=None)
         if after_revision < self.oldest_kept_revision:
             raise fleet_source.HistoryLostError('gone', step='read', peer=None)
