Simulate a service whose servers differ in speed

Cause: placement looks at requests in progress only, so an idle server that takes 2.2 times as long is as good as an idle fast one. The simulation gets slow and failing servers, stragglers and features.

A fast server takes 48 ms on average.

--- a/tests/balancer/test_flow_overload.py
+++ b/tests/balancer/test_flow_overload.py
@@ -1,7 +1,9 @@
 """Simulates fleets beyond capacity and checks what the callers get."""
 
+import math
 import statistics
 
+import attrs
 import flow_fleet_simulation
 import pytest
 
@@ -15,6 +17,24 @@
 # A server that has just started takes longer, for some seconds.
 COLD_FACTOR = 1.6
 COLD_MS = 2_000
+# A service whose servers differ in speed.
+UNEVEN_BALANCERS = 19
+UNEVEN_SERVERS = 40
+UNEVEN_SLOTS = 2
+# Mean of 45 ms at 577 requests/s and 59 ms at 165 requests/s.
+UNEVEN_WORK_MS = 48
+UNEVEN_RATE_PER_S = 742
+UNEVEN_CREST_PER_S = 1_050
+# A quarter of the servers work at less than half the speed of the others.
+SLOW_SERVERS = 10
+SLOW_FACTOR = 2.2
+STRAGGLER_SHARE = 0.03
+UNEVEN_TARGET_MS = 369
+UNEVEN_TIMEOUT_MS = 1_616
+# Requests asked before this time are not counted: service times are not known
+# yet.
+WARM_UP_MS = 1_000
+PACE = frozenset(('server_pace',))
 
 
 class Load:
@@ -26,6 +46,7 @@
         duration_ms: How long callers ask.
         outage_ms: How long no balancer runs at first.
         balancers: Number of balancers.
+        changes: Further arguments of the FlowFleetSimulation.
     """
 
     def __init__(
@@ -35,24 +56,32 @@
         duration_ms,
         outage_ms=0,
         balancers=BALANCERS,
+        **changes,
     ):
         self.fleet = flow_fleet_simulation.FlowFleetSimulation(
             seed,
             balancers=balancers,
-            servers=SERVERS,
-            slots=SLOTS,
-            mean_work_ms=MEAN_WORK_MS,
-            target_ms=TARGET_MS,
-            timeout_ms=TIMEOUT_MS,
+            **{
+                'servers': SERVERS,
+                'slots': SLOTS,
+                'mean_work_ms': MEAN_WORK_MS,
+                'target_ms': TARGET_MS,
+                'timeout_ms': TIMEOUT_MS,
+                **changes,
+            },
         )
         self.rate_per_ms = rate_per_s / 1_000
         self.start_ms = self.fleet.clock.monotonic_ms()
         self.end_ms = self.start_ms + duration_ms
         self.requests = []
+        self.prepare()
         self.arrive()
         if outage_ms:
             self.go_through_outage(outage_ms)
-        self.fleet.run(duration_ms - outage_ms + TIMEOUT_MS)
+        self.fleet.run(duration_ms - outage_ms + self.fleet.timeout_ms)
+
+    def prepare(self):
+        """Schedule what happens during the load."""
 
     def arrive(self):
         self.requests.append(self.fleet.ask())
@@ -84,7 +113,7 @@
         ]
         in_time = sum(
             request.answered_ms is not None
-            and request.answered_ms - request.asked_ms <= TARGET_MS
+            and request.answered_ms - request.asked_ms <= self.fleet.target_ms
             for request in asked
         )
         failed = sum(request.answered_ms is None for request in asked)
@@ -144,3 +173,65 @@
         for seed in (4, 5, 6)
     ]
     return [statistics.mean(values) for values in zip(*shares, strict=True)]
+
+
+class UnevenLoad(Load):
+    """Callers of 40 servers, a quarter of which are slow."""
+
+    def __init__(
+        self, seed, features, rate_per_s=UNEVEN_RATE_PER_S, duration_ms=3_000
+    ):
+        super().__init__(
+            seed,
+            rate_per_s,
+            duration_ms,
+            balancers=UNEVEN_BALANCERS,
+            servers=UNEVEN_SERVERS,
+            slots=UNEVEN_SLOTS,
+            mean_work_ms=UNEVEN_WORK_MS,
+            target_ms=UNEVEN_TARGET_MS,
+            timeout_ms=UNEVEN_TIMEOUT_MS,
+            straggler_share=STRAGGLER_SHARE,
+            slow_servers=SLOW_SERVERS,
+            slow_factor=SLOW_FACTOR,
+            features=features,
+        )
+
+
+@attrs.frozen
+class Outcome:
+    """What the callers of several loads got; times in ms."""
+
+    late_share: float
+    p50_ms: float
+    p99_ms: float
+
+
+def run_loads(features, rate_per_s, load_class=UnevenLoad):
+    times_ms = sorted(
+        math.inf
+        if request.answered_ms is None
+        else request.answered_ms - request.asked_ms
+        for seed in (1, 2, 3)
+        for load in (load_class(seed, features, rate_per_s),)
+        for request in load.requests
+        if request.asked_ms >= load.start_ms + WARM_UP_MS
+    )
+    return Outcome(
+        sum(time_ms > UNEVEN_TARGET_MS for time_ms in times_ms)
+        / len(times_ms),
+        times_ms[len(times_ms) // 2],
+        times_ms[len(times_ms) * 99 // 100],
+    )
+
+
+@pytest.mark.xfail(strict=True, reason='server_pace is not implemented yet')
+@pytest.mark.parametrize('rate_per_s', [UNEVEN_RATE_PER_S, UNEVEN_CREST_PER_S])
+def test_slow_servers_delay_fewer_callers_with_server_pace(rate_per_s):
+    """Guards against idle slow servers being preferred to fast ones."""
+    without = run_loads(frozenset(), rate_per_s)
+    outcome = run_loads(PACE, rate_per_s)
+    print(f'without {without}, with server_pace {outcome}')
+    assert outcome.late_share <= 0.8 * without.late_share
+    assert outcome.p50_ms <= 0.95 * without.p50_ms
+    assert outcome.p99_ms <= without.p99_ms
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -43,6 +43,9 @@
 OPEN_TIMEOUT_MS = 1_400
 RETRANSMISSION_DELAYS_MS = (200, 600, 1_400, 3_000)
 MAX_ATTEMPTS = 3
+STRAGGLER_FACTOR = 7
+# How long a failing server takes for an answer.
+FAILURE_MS = 1.0
 
 
 class SimulatedServer:
@@ -57,6 +60,7 @@
         self._running_count = 0
         self.sequences = {}
         self.served_count = 0
+        self.is_failing = False
 
     def receive(self, data):
         packet = FORMAT.read_from_client(data)
@@ -82,6 +86,10 @@
             return
         self._running_count += 1
         work_ms = self._fleet.rng.gammavariate(4, self.mean_work_ms / 4)
+        if self._fleet.rng.random() < self._fleet.straggler_share:
+            work_ms *= STRAGGLER_FACTOR
+        if self.is_failing:
+            work_ms = FAILURE_MS
         self._fleet.after(work_ms, self._finish, self._waiting.popleft())
 
     def _finish(self, packet):
@@ -94,7 +102,7 @@
             from_client=False,
             flags=flow_support.ACKNOWLEDGE,
             sequence=self.sequences[packet.flow] + 1,
-            data=b'200',
+            data=b'500' if self.is_failing else b'200',
         )
         self._send(answer)
         self._run_next()
@@ -111,7 +119,7 @@
     def __init__(self, fleet, number, slots, mean_work_ms):
         self._fleet = fleet
         self._slots = slots
-        self._mean_work_ms = mean_work_ms
+        self.mean_work_ms = mean_work_ms
         self.entry = flow_support.make_server(number, slots=slots)
         self.ip = self.entry.ip
         self.path = None
@@ -121,7 +129,7 @@
 
     def start_server(self):
         self.server = SimulatedServer(
-            self._fleet, self, self._slots, self._mean_work_ms
+            self._fleet, self, self._slots, self.mean_work_ms
         )
 
     def start_agent(self, *, is_first_start=False):
@@ -131,7 +139,15 @@
         self.counters = agent_counters.FlowCounters()
         self.path = agent_data_path.FlowDataPath(
             agent_settings.FlowAgentSettings(
-                self.ip, 'gate', own, own, server, own, '/', is_first_start
+                self.ip,
+                'gate',
+                own,
+                own,
+                server,
+                own,
+                '/',
+                is_first_start,
+                features=fleet.features,
             ),
             fleet.clock,
             random.Random(fleet.rng.random()),
@@ -193,7 +209,14 @@
         self._view = fleet_view.make_fleet_view(fleet.clock)
         self.path = balancer_data_path.FlowDataPath(
             balancer_settings.FlowBalancerSettings(
-                self.ip, 'dakar', own, peer, probe, '/ready', AGENT_PORT
+                self.ip,
+                'dakar',
+                own,
+                peer,
+                probe,
+                '/ready',
+                AGENT_PORT,
+                features=fleet.features,
             ),
             fleet.clock,
             FORMAT,
@@ -324,6 +347,12 @@
         target_ms: Latency target of the route.
         timeout_ms: Time after which a client gives up a request.
         loss: Share of the datagrams between balancers and agents that is lost.
+        straggler_share: Share of the requests that take STRAGGLER_FACTOR times
+            as long.
+        slow_servers: Number of servers that take ``slow_factor`` times as
+            long.
+        slow_factor: See ``slow_servers``.
+        features: Features of the balancers and agents.
 
     Attributes:
         messages: Number of datagrams between balancers and agents, by class.
@@ -346,8 +375,14 @@
         target_ms=200,
         timeout_ms=5_000,
         loss=0.0,
+        straggler_share=0.0,
+        slow_servers=0,
+        slow_factor=1.0,
+        features=frozenset(),
     ):
         self.loss = loss
+        self.straggler_share = straggler_share
+        self.features = features
         self.odd_entries = []
         self.is_vouched_for = False
         self.timeout_ms = timeout_ms
@@ -362,7 +397,12 @@
         self._flow_numbers = itertools.count(1)
         self.balancers_by_ip = {}
         self.nodes = [
-            SimulatedNode(self, number, slots, mean_work_ms)
+            SimulatedNode(
+                self,
+                number,
+                slots,
+                mean_work_ms * (slow_factor if number < slow_servers else 1),
+            )
             for number in range(servers)
         ]
         self.nodes_by_ip = {node.ip: node for node in self.nodes}
