Simulate kinds of requests that compete for too few servers

Nothing showed what callers of each kind get when one kind bursts. The fleet simulation gains kinds with their own route, work, priority and number of requests on a flow, and services with their own servers; its random numbers for requests without a kind are the same as before.

--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -23,10 +23,12 @@
 from kingcupport.common import address
 from kingcupport.flows import fleet_source
 from kingcupport.flows import fleet_view
+from kingcupport.flows import flow_route
 from kingcupport.observability import decision_log
 from kingcupport.wire import flow_datagrams
 
 FORMAT = flow_support.FORMAT
+GATE = flow_support.GATE
 AGENT_PORT = 8172
 SERVER_PORT = 8645
 PEER_PORT = 7720
@@ -45,6 +47,33 @@
 MAX_ATTEMPTS = 3
 
 
+@attrs.frozen
+class RequestKind:
+    """Requests that use one route.
+
+    Args:
+        name: Name of the kind and of its route.
+        address: ``(ip, port)`` that its flows are opened to.
+        service: Name of the service that serves it.
+        work_ms: Mean duration of a request at a server.
+        target_ms: Latency target of the route.
+        timeout_ms: Time after which a client gives up a request.
+        priority: Priority of the route.
+        requests_per_flow: Number of requests on a flow.
+        pause_ms: Mean pause between an answer and the next request.
+    """
+
+    name: str
+    address: tuple
+    service: str
+    work_ms: float
+    target_ms: int
+    timeout_ms: int
+    priority: int = 0
+    requests_per_flow: int = 1
+    pause_ms: float = 0.0
+
+
 class SimulatedServer:
     """A server that runs up to ``slots`` requests at a time, in order."""
 
@@ -53,6 +82,8 @@
         self._node = node
         self._slots = slots
         self.mean_work_ms = mean_work_ms
+        # Factor of the work of requests that have a kind.
+        self.slowness = 1.0
         self._waiting = collections.deque()
         self._running_count = 0
         self.sequences = {}
@@ -81,8 +112,13 @@
         if self._running_count >= self._slots or not self._waiting:
             return
         self._running_count += 1
-        work_ms = self._fleet.rng.gammavariate(4, self.mean_work_ms / 4)
-        self._fleet.after(work_ms, self._finish, self._waiting.popleft())
+        packet = self._waiting.popleft()
+        kind = self._fleet.requests[packet.flow].kind
+        mean_work_ms = (
+            kind.work_ms * self.slowness if kind else self.mean_work_ms
+        )
+        work_ms = self._fleet.rng.gammavariate(4, mean_work_ms / 4)
+        self._fleet.after(work_ms, self._finish, packet)
 
     def _finish(self, packet):
         if self._node.server is not self:
@@ -108,11 +144,11 @@
 class SimulatedNode:
     """An instance with an agent and a server."""
 
-    def __init__(self, fleet, number, slots, mean_work_ms):
+    def __init__(self, fleet, number, slots, mean_work_ms, service='gate'):
         self._fleet = fleet
         self._slots = slots
         self._mean_work_ms = mean_work_ms
-        self.entry = flow_support.make_server(number, slots=slots)
+        self.entry = flow_support.make_server(number, service, slots=slots)
         self.ip = self.entry.ip
         self.path = None
         self.server = None
@@ -131,7 +167,14 @@
         self.counters = agent_counters.FlowCounters()
         self.path = agent_data_path.FlowDataPath(
             agent_settings.FlowAgentSettings(
-                self.ip, 'gate', own, own, server, own, '/', is_first_start
+                self.ip,
+                self.entry.service,
+                own,
+                own,
+                server,
+                own,
+                '/',
+                is_first_start,
             ),
             fleet.clock,
             random.Random(fleet.rng.random()),
@@ -220,10 +263,7 @@
         update = fleet_source.FleetUpdate(
             revision,
             True,
-            configuration=flow_support.make_configuration(
-                target_ms=self._fleet.target_ms,
-                timeout_ms=self._fleet.timeout_ms,
-            ),
+            configuration=self._fleet.configuration,
             servers=[
                 *(node.entry for node in self._fleet.nodes),
                 *self._fleet.odd_entries,
@@ -296,6 +336,8 @@
         failed_ms: When the client gave up, or None.
         sequence: Initial sequence number of the server that the client
             communicates with; None until the flow is open.
+        kind: RequestKind, or None.
+        following: Number of requests that follow on the flow.
     """
 
     asked_ms: float
@@ -306,6 +348,8 @@
     reset_ms: float | None = None
     failed_ms: float | None = None
     sequence: int | None = None
+    kind: RequestKind | None = None
+    following: int = 0
 
     @property
     def is_finished(self):
@@ -324,6 +368,9 @@
         target_ms: Latency target of the route.
         timeout_ms: Time after which a client gives up a request.
         loss: Share of the datagrams between balancers and agents that is lost.
+        kinds: RequestKind objects, whose routes replace the default ones.
+        services: Numbers of servers by service; all of the default service if
+            None.
 
     Attributes:
         messages: Number of datagrams between balancers and agents, by class.
@@ -333,6 +380,7 @@
         requests: SimulatedRequest by flow.
         untrue_resets: SimulatedRequest objects whose open flow was reset while
             its server held it.
+        asked: SimulatedRequest objects that have a kind, in order.
     """
 
     def __init__(
@@ -346,14 +394,18 @@
         target_ms=200,
         timeout_ms=5_000,
         loss=0.0,
+        kinds=(),
+        services=None,
     ):
         self.loss = loss
+        self.configuration = _make_configuration(kinds, target_ms, timeout_ms)
+        self.asked = []
         self.odd_entries = []
         self.is_vouched_for = False
         self.timeout_ms = timeout_ms
+        self.target_ms = target_ms
         self.clock = flow_support.make_clock()
         self.rng = random.Random(seed)
-        self.target_ms = target_ms
         self.messages = collections.Counter()
         self.requests = {}
         self.untrue_resets = []
@@ -362,8 +414,15 @@
         self._flow_numbers = itertools.count(1)
         self.balancers_by_ip = {}
         self.nodes = [
-            SimulatedNode(self, number, slots, mean_work_ms)
-            for number in range(servers)
+            SimulatedNode(self, number, slots, mean_work_ms, service)
+            for number, service in enumerate(
+                itertools.chain.from_iterable(
+                    itertools.repeat(service, count)
+                    for service, count in (
+                        services or {'gate': servers}
+                    ).items()
+                )
+            )
         ]
         self.nodes_by_ip = {node.ip: node for node in self.nodes}
         self.balancers = [
@@ -422,17 +481,22 @@
 
     # Clients
 
-    def ask(self, request=None):
-        """Open a flow and send one request on it."""
-        flow = flow_support.make_flow(next(self._flow_numbers))
+    def ask(self, request=None, kind=None):
+        """Open a flow and send one request on it, or those of a kind."""
+        kind = request.kind if request else kind
+        flow = flow_support.make_flow(
+            next(self._flow_numbers), kind.address if kind else GATE
+        )
         balancer = self.rng.choice(self.balancers)
         if request is None:
             request = SimulatedRequest(
-                self.clock.monotonic_ms(), balancer, flow
-            )
-            self.after(
-                self.timeout_ms, self._give_up, request, request.asked_ms
+                self.clock.monotonic_ms(), balancer, flow, kind=kind
             )
+            if kind is not None:
+                request.following = kind.requests_per_flow - 1
+                self.asked.append(request)
+            timeout_ms = kind.timeout_ms if kind else self.timeout_ms
+            self.after(timeout_ms, self._give_up, request, request.asked_ms)
         request.flow = flow
         request.balancer = balancer
         request.sequence = None
@@ -449,6 +513,23 @@
         self.after(self.timeout_ms, self._give_up, request, request.asked_ms)
         self._send_data(request, request.flow)
 
+    def _follow(self, answered):
+        """Send the next request on the open flow of an answered one."""
+        request = SimulatedRequest(
+            self.clock.monotonic_ms(),
+            answered.balancer,
+            answered.flow,
+            sequence=answered.sequence,
+            kind=answered.kind,
+            following=answered.following - 1,
+        )
+        self.asked.append(request)
+        self.requests[request.flow] = request
+        self.after(
+            request.kind.timeout_ms, self._give_up, request, request.asked_ms
+        )
+        self._send_data(request, request.flow)
+
     def send_to_client(self, data, _address):
         self.after(CLIENT_DELAY_MS, self._on_client_datagram, data)
 
@@ -501,6 +582,9 @@
                 self._send_data(request, request.flow)
         elif packet.data_bytes:
             request.answered_ms = now_ms
+            if request.following:
+                pause_ms = self.rng.expovariate(1 / request.kind.pause_ms)
+                self.after(pause_ms, self._follow, request)
 
     def _give_up(self, request, asked_ms):
         if request.asked_ms == asked_ms and not request.is_finished:
@@ -518,3 +602,22 @@
             return
         request.attempts += 1
         self.ask(request)
+
+
+def _make_configuration(kinds, target_ms, timeout_ms):
+    if not kinds:
+        return flow_support.make_configuration(
+            target_ms=target_ms, timeout_ms=timeout_ms
+        )
+    routes = {
+        kind.address: flow_route.FlowRoute(
+            kind.name,
+            kind.address,
+            ((kind.service, 1),),
+            timeout_ms=kind.timeout_ms,
+            target_ms=kind.target_ms,
+            priority=kind.priority,
+        )
+        for kind in kinds
+    }
+    return flow_route.FlowConfiguration(1, routes, 15_000)
