Share a service by priority and refuse what cannot start in time

Requests on open flows pass every limit and kept out the kind of higher priority, which waits at the balancers for servers with few requests. With the feature shared_admission such a flow may use one more place at a busy server for each lower priority, every eighth place goes to a priority that is passed over, a flow whose expected wait is too long is refused at once, the size of the queue follows from the drain rate, and a full queue refuses its least valuable flow. Log fields: place, expected_wait_ms, drain_per_s.

--- a/packages/balancer/src/kingcupport/balancer/flow_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_counters.py
@@ -25,6 +25,7 @@
     flows_placed: int = 0
     flows_placed_again: int = 0
     flows_waiting: int = 0
+    flows_in_added_places: int = 0
     copies_ignored: int = 0
     flows_refused: int = 0
     flows_found: int = 0
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -6,6 +6,7 @@
 from kingcupport.balancer import flow_refusals
 from kingcupport.balancer import holder_finder
 from kingcupport.balancer import server_index
+from kingcupport.flows import admission
 from kingcupport.flows import flow_placement
 from kingcupport.flows import flow_table as flow_table_module
 from kingcupport.flows import server_loads
@@ -91,6 +92,9 @@
             self._send_to,
             request_read,
         )
+        self._policy = admission.make_admission_policy(
+            clock, settings.features, self._priorities
+        )
         self.opener = flow_opener.FlowOpener(
             clock,
             packet_format,
@@ -103,6 +107,7 @@
             self._refusals,
             counters,
             decisions,
+            self._policy,
             find_route=self._find_route,
             forward=self._forward,
             call_later=call_later,
@@ -211,6 +216,9 @@
             self._format.service_address(flow)
         )
 
+    def _priorities(self, service):
+        return self._view.configuration.priorities_by_service.get(service, ())
+
     # Answers of agents
 
     def _on_status(self, ip, status):
@@ -260,8 +268,14 @@
     def _on_report(self, ip, report):
         load = self.loads.get(ip)
         before = (load.is_leaving, load.is_silent, load.boot)
+        previous = (load.running, load.reported_ms)
         if not self.loads.on_report(ip, report):
             return
+        server = self._index.by_ip.get(ip)
+        if server is not None:
+            self._policy.on_report(
+                server.service, server.slots, previous, load
+            )
         if len(self.opener.waiting):
             self.opener.place_waiting(report.service)
         after = (load.is_leaving, load.is_silent, load.boot)
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from kingcupport.flows import admission
 from kingcupport.flows import opening_queue
 from kingcupport.wire import flow_datagrams
 
@@ -20,7 +21,6 @@
 # room to the timely flows of other balancers for this long.
 LATE_YIELD_MS = 10
 
-NO_ROOM = 'no server has room in time'
 NO_SERVER = 'no server takes flows'
 
 
@@ -37,6 +37,7 @@
         refusals: FlowRefusals.
         counters: FlowCounters.
         decisions: DecisionLog.
+        policy: AdmissionPolicy.
         find_route: ``find_route(flow)`` returns a FlowRoute or None.
         forward: ``forward(entry, data, slot_limit)`` sends a packet to the
             agent of a FlowEntry.
@@ -57,6 +58,7 @@
         refusals,
         counters,
         decisions,
+        policy,
         *,
         find_route,
         forward,
@@ -76,7 +78,8 @@
         self._call_later = call_later
         # Services whose late flows are placed soon.
         self._yielding = set()
-        self.waiting = opening_queue.make_opening_queue(clock)
+        self._policy = policy
+        self.waiting = opening_queue.make_opening_queue(clock, policy)
         # (deadline_ms, flow, server name) of the packets that were sent,
         # ordered by deadline because all have the same timeout.
         self._pending_openings = collections.deque()
@@ -145,9 +148,7 @@
             if server is not None:
                 limit = self._placement.slot_limit_after_wait(opening, server)
             if limit is None:
-                packet = self._format.read_from_client(opening.data)
-                waited_ms = self._clock.monotonic_ms() - opening.queued_ms
-                self._refuse_overloaded(packet, opening.service, waited_ms)
+                self._refuse_overloaded(opening, admission.NO_ROOM)
             else:
                 self._place_opening(opening, server, limit)
 
@@ -171,9 +172,7 @@
             server = self._choose(opening.flow, service, ())
             limit = 0
             if server is not None:
-                limit = self._placement.slot_limit(
-                    server, self.waiting.is_late(opening)
-                )
+                limit = self._slot_limit(server, opening)
             if limit is None:
                 self.waiting.requeue(opening)
                 return
@@ -196,28 +195,67 @@
         if server is None:
             self._refusals.refuse(packet, NO_SERVER, service)
             return
-        now_ms = self._clock.monotonic_ms()
-        opened_ms = now_ms - packet.opening_age_ms
-        limit = self._placement.slot_limit(
-            server, opening_queue.latest_start_ms(route, opened_ms) <= now_ms
+        opening = self.waiting.make_opening(
+            packet.flow,
+            service,
+            data,
+            route,
+            self._clock.monotonic_ms() - packet.opening_age_ms,
         )
+        limit = self._slot_limit(server, opening)
         if limit is not None:
             self._register_and_send(
-                packet.flow, server, data, limit, opened_ms
+                packet.flow, server, data, limit, opening.opened_ms
             )
-        elif self.waiting.put(packet.flow, service, data, route, opened_ms):
+            self._on_placed(opening)
+        elif self.waiting.put(opening):
             self._counters.flows_waiting += 1
-        else:
-            self._refuse_overloaded(packet, service, 0)
+        self._refuse_chosen()
+
+    def _slot_limit(self, server, opening):
+        limit = self._placement.slot_limit(
+            server, self.waiting.is_late(opening)
+        )
+        if limit is not None:
+            return limit
+        running = self._loads.running(server.ip)
+        added_places = self._policy.added_places(
+            opening, server, self._loads.get(server.ip), running
+        )
+        added_limit = (
+            server.slots
+            + opening_queue.MAX_QUEUED_FLOWS_PER_SERVER
+            + added_places
+        )
+        if not added_places or running >= added_limit:
+            return None
+        self._counters.flows_in_added_places += 1
+        return added_limit
+
+    def _on_placed(self, opening):
+        self._policy.on_placed(
+            opening.service,
+            opening.priority,
+            self.waiting.counts(opening.service),
+        )
+
+    def _refuse_chosen(self):
+        """Refuse the openings that the policy has removed from the queue."""
+        for opening, refusal in self.waiting.pop_refused():
+            if not self._is_already_accepted(opening):
+                self._refuse_overloaded(opening, refusal)
 
-    def _refuse_overloaded(self, packet, service, waited_ms):
+    def _refuse_overloaded(self, opening, refusal):
+        packet = self._format.read_from_client(opening.data)
+        waited_ms = self._clock.monotonic_ms() - opening.queued_ms
         self._refusals.refuse(
             packet,
-            NO_ROOM,
-            service,
+            refusal.reason,
+            opening.service,
             opened_ago_ms=round(packet.opening_age_ms + waited_ms),
             waited_ms=round(waited_ms),
             waiting=len(self.waiting),
+            **refusal.inputs,
         )
 
     def _is_already_accepted(self, opening):
@@ -247,6 +285,7 @@
             waited_ms,
         )
         entry.wait_deadline_ms = opening.deadline_ms
+        self._on_placed(opening)
 
     def _register_and_send(
         self, flow, server, data, limit, opened_ms, waited_ms=0
@@ -286,21 +325,26 @@
         self._loads.on_opening_resolved(entry.ip, entry.flow)
         self._loads.on_busy(entry.ip, server.slots + 1 if server else 1)
         route = self._find_route(entry.flow)
-        if (
-            route is None
-            or not self._will_report_room(entry.service)
-            or not self.waiting.put(
-                entry.flow,
-                entry.service,
-                entry.opening_data,
-                route,
-                entry.opened_ms,
-                entry.wait_deadline_ms,
-            )
-        ):
+        if route is None or not self._will_report_room(entry.service):
             self._place_again(entry, 'busy')
             return
+        opening = self.waiting.make_opening(
+            entry.flow,
+            entry.service,
+            entry.opening_data,
+            route,
+            entry.opened_ms,
+            entry.wait_deadline_ms,
+        )
+        was_waiting = entry.wait_deadline_ms is not None
+        if not self.waiting.put(opening, is_admitted=was_waiting):
+            ((_, refusal),) = self.waiting.pop_refused()
+            if refusal is admission.NO_ROOM:
+                self._place_again(entry, 'busy')
+                return
+            self._refuse_overloaded(opening, refusal)
         self._table.forget(entry.flow)
+        self._refuse_chosen()
         self.place_waiting(entry.service)
 
     def _will_report_room(self, service):
--- a/packages/flows/src/kingcupport/flows/flow_route.py
+++ b/packages/flows/src/kingcupport/flows/flow_route.py
@@ -1,5 +1,6 @@
 """Routes from public addresses to services."""
 
+import collections
 import functools
 import zlib
 
@@ -88,6 +89,15 @@
             for name, _ in route.services
         )
 
+    @functools.cached_property
+    def priorities_by_service(self):
+        """Ascending priorities of the routes of each service, as tuples."""
+        priorities = collections.defaultdict(set)
+        for route in self.routes.values():
+            for service in route.service_names:
+                priorities[service].add(route.priority)
+        return {name: tuple(sorted(p)) for name, p in priorities.items()}
+
 
 # Types of the fields of an encoded route but for its services.
 _ROUTE_TYPES = (str, str, int, bool, int, int, int)
--- a/tests/balancer/test_flow_admission.py
+++ b/tests/balancer/test_flow_admission.py
@@ -13,6 +13,8 @@
 import flow_support
 import pytest
 
+from kingcupport.flows import admission
+
 RESERVE_ADDRESS = ('198.18.0.3', 443)
 FEED = flow_fleet_simulation.RequestKind(
     'feed',
@@ -42,8 +44,11 @@
     timeout_ms=4_365,
     priority=2,
 )
+SHARED_ADMISSION = frozenset([admission.FEATURE])
 # Requests in a second of each kind.
 RATES_PER_S = {FEED: 328, RESERVE: 93.5, UPLOAD: 28}
+VALUES = {FEED: 1, RESERVE: 2, UPLOAD: 1}
+LATE_WORTH = 0.5
 BALANCERS = 12
 GATE_SERVERS = 25
 # The load is 0.83 of the capacity of these, and 1.23 in a burst of feed.
@@ -55,6 +60,13 @@
 END_MS = 5_000
 
 
+def _worth(request):
+    if request.answered_ms is None:
+        return 0
+    took_ms = request.answered_ms - request.asked_ms
+    return 1 if took_ms <= request.kind.target_ms else LATE_WORTH
+
+
 class BurstLoad:
     """Callers of which one kind asks more often for a while.
 
@@ -86,6 +98,21 @@
         self.fleet.run(END_MS + max(k.timeout_ms for k in RATES_PER_S))
         return self
 
+    def worth(self):
+        """Return the mean worth of all requests, of 1."""
+        worth = [
+            VALUES[request.kind] * _worth(request)
+            for request in self.fleet.asked
+        ]
+        return sum(worth) / sum(VALUES[r.kind] for r in self.fleet.asked)
+
+    def refused(self, reason):
+        """Return how many flows were refused for a reason."""
+        return sum(
+            balancer.counters.resets_by_reason[reason]
+            for balancer in self.fleet.balancers
+        )
+
     def arrive(self, kind):
         age_ms = self.fleet.clock.monotonic_ms() - self.start_ms
         if age_ms >= END_MS:
@@ -148,3 +175,17 @@
     assert feed[3] >= 900
     assert reserve[3] >= 1_100
     assert upload[0] == 1
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_the_valuable_kind_keeps_capacity(seed):
+    """With the feature, a flow of higher priority may queue deeper."""
+    load = BurstLoad(
+        seed, FEED, TOO_FEW_GATE_SERVERS, features=SHARED_ADMISSION
+    ).run()
+    feed, reserve, upload = map(load.shares, RATES_PER_S)
+    assert reserve[0] >= 0.95
+    assert reserve[2] <= 0.01
+    assert feed[0] >= 0.85
+    assert feed[2] <= 0.08
+    assert upload[0] == 1
--- a/tests/balancer/test_flow_opener.py
+++ b/tests/balancer/test_flow_opener.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kingcupport.balancer import flow_opener
+from kingcupport.flows import admission
 from kingcupport.flows import opening_queue
 from kingcupport.wire import flow_datagrams
 
@@ -213,10 +214,10 @@
 def test_an_opening_is_refused_at_once_when_too_many_wait(balancer):
     for server in balancer.servers:
         balancer.report(server.ip, running=2)
-    for n in range(opening_queue.MAX_WAITING_OPENINGS):
+    for n in range(admission.DEFAULT_PLACES):
         balancer.client(flow_support.make_flow(n), flow_support.OPEN)
     assert not balancer.resets()
-    flow = flow_support.make_flow(opening_queue.MAX_WAITING_OPENINGS)
+    flow = flow_support.make_flow(admission.DEFAULT_PLACES)
     balancer.client(flow, flow_support.OPEN)
     assert [packet.flow for packet in balancer.resets()] == [flow]
 
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -236,7 +236,14 @@
         self._view = fleet_view.make_fleet_view(fleet.clock)
         self.path = balancer_data_path.FlowDataPath(
             balancer_settings.FlowBalancerSettings(
-                self.ip, 'dakar', own, peer, probe, '/ready', AGENT_PORT
+                self.ip,
+                'dakar',
+                own,
+                peer,
+                probe,
+                '/ready',
+                AGENT_PORT,
+                features=fleet.features,
             ),
             fleet.clock,
             FORMAT,
@@ -371,9 +378,11 @@
         kinds: RequestKind objects, whose routes replace the default ones.
         services: Numbers of servers by service; all of the default service if
             None.
+        features: Features of the balancers that are switched on.
 
     Attributes:
         messages: Number of datagrams between balancers and agents, by class.
+        lost_names: Classes of datagrams that are lost.
         is_vouched_for: Whether a balancer that starts learns from a peer that
             its view lists every server.
         odd_entries: FlowServer objects of another writer.
@@ -396,7 +405,10 @@
         loss=0.0,
         kinds=(),
         services=None,
+        features=frozenset(),
     ):
+        self.features = features
+        self.lost_names = set()
         self.loss = loss
         self.configuration = _make_configuration(kinds, target_ms, timeout_ms)
         self.asked = []
@@ -450,8 +462,9 @@
 
     def transmit(self, data, action, *arguments):
         """Deliver a datagram between a balancer and an agent, or lose it."""
-        self.messages[type(flow_datagrams.decode(data)).__name__] += 1
-        if self.rng.random() >= self.loss:
+        name = type(flow_datagrams.decode(data)).__name__
+        self.messages[name] += 1
+        if self.rng.random() >= self.loss and name not in self.lost_names:
             self.after(ONE_WAY_DELAY_MS, action, data, *arguments)
 
     def is_held(self, request):
--- a/tests/flows/test_flow_placement.py
+++ b/tests/flows/test_flow_placement.py
@@ -139,7 +139,9 @@
         if not self.send(
             balancer, flow, is_late=is_late
         ) and not balancer.waiting.put(
-            flow, 'gate', b'', self.route, opened_ms
+            balancer.waiting.make_opening(
+                flow, 'gate', b'', self.route, opened_ms
+            )
         ):
             self.refuse(flow)
 
@@ -206,7 +208,9 @@
     def on_busy(self, balancer, server, flow):
         balancer.loads.on_opening_resolved(server.entry.ip, flow)
         balancer.loads.on_busy(server.entry.ip, 2)
-        balancer.waiting.put(flow, 'gate', b'', self.route)
+        balancer.waiting.put(
+            balancer.waiting.make_opening(flow, 'gate', b'', self.route)
+        )
         self.place_waiting(balancer)
 
     def request(self, server, flow):
--- a/tests/flows/test_opening_queue.py
+++ b/tests/flows/test_opening_queue.py
@@ -20,7 +20,9 @@
 
 def put(waiting, number, opened_ms=None):
     flow = flow_support.make_flow(number)
-    assert waiting.put(flow, 'gate', b'', ROUTE, opened_ms)
+    assert waiting.put(
+        waiting.make_opening(flow, 'gate', b'', ROUTE, opened_ms)
+    )
     return flow
 
 
@@ -71,7 +73,11 @@
     configuration = flow_support.make_configuration(timeout_ms=timeout_ms)
     route = configuration.routes[flow_support.GATE]
     flow = flow_support.make_flow(1)
-    waiting.put(flow, 'gate', b'', route, clock.monotonic_ms() - 200)
+    waiting.put(
+        waiting.make_opening(
+            flow, 'gate', b'', route, clock.monotonic_ms() - 200
+        )
+    )
     clock.advance(max_age_ms - 201)
     assert not waiting.pop_expired()
     clock.advance(1)
@@ -84,7 +90,9 @@
     (opening,) = [waiting.pop('gate')]
     clock.advance(600)
     waiting.put(
-        flow, 'gate', b'', ROUTE, opening.opened_ms, opening.deadline_ms
+        waiting.make_opening(
+            flow, 'gate', b'', ROUTE, opening.opened_ms, opening.deadline_ms
+        )
     )
     clock.advance(opening.deadline_ms - clock.monotonic_ms())
     assert [opening.flow for opening in waiting.pop_expired()] == [flow]
