--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -164,6 +164,15 @@
             and age_ms > load.straggler_age_ms
         )
 
+    def is_start_limited(self, server):
+        """Whether a server has all that it may take after a start.
+
+        Args:
+            server: FlowServer.
+        """
+        load = self._loads.get(server.ip)
+        return self._is_limit_reached(load, self._loads.running_of(load))
+
     def _is_limit_reached(self, load, running):
         if load.pace is None:
             return False
