--- a/packages/observability/src/kingcupport/observability/bounded_stream.py
+++ b/packages/observability/src/kingcupport/observability/bounded_stream.py
@@ -1,7 +1,9 @@
 """Non-blocking output stream with a bounded buffer."""
 
 import collections
+import contextlib
 import os
+import stat
 
 import gevent
 
@@ -14,7 +16,9 @@
 class BoundedStream:
     """Writes lines to a file descriptor without blocking.
 
-    The descriptor is made non-blocking. Lines that cannot be written at
+    The descriptor is made non-blocking. That of a pipe is opened again first:
+    other processes may share it, and any of them could make it blocking for
+    all. Lines that cannot be written at
     once are buffered up to ``MAX_BUFFERED_BYTES``. Further lines are dropped
     and counted, and a log line reports their number.
 
@@ -23,13 +27,13 @@
     """
 
     def __init__(self, descriptor):
-        self._descriptor = descriptor
+        self._descriptor = _own_descriptor(descriptor)
         self._buffer = collections.deque()
         self._buffered_bytes = 0
         self._retry_task = None
         self.dropped_count = 0
         self._reported_count = 0
-        os.set_blocking(descriptor, False)
+        os.set_blocking(self._descriptor, False)
 
     def write(self, text):
         """Write text, buffer it, or drop it when the buffer is full."""
@@ -79,3 +83,13 @@
             gevent.sleep(RETRY_INTERVAL_MS / 1000)
             self._write_buffer()
         self._retry_task = None
+
+
+def _own_descriptor(descriptor):
+    """Return a descriptor whose flags no other process shares, if possible."""
+    with contextlib.suppress(OSError):
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            return os.open(
+                f'/proc/self/fd/{descriptor}', os.O_WRONLY | os.O_NONBLOCK
+            )
+    return descriptor
