Defer unused modules of attrs; answer each request in the benchmark

Cause: importing attrs executes validators and converters that nothing uses; some of their methods are salted per process, so the archive cannot hold them.

Change: these modules are executed at their first use.

--- a/bench/platform_processes.py
+++ b/bench/platform_processes.py
@@ -385,35 +385,31 @@
                 )
             )
 
-        def send_request(number):
+        def request(number):
+            # Each request is answered before the next, as a server does.
+            flow = number % 1_000
             send_envelope(
                 _packet(
-                    number % 1_000,
+                    flow,
                     platform_standin.ACK,
                     seq=8 + 100 * (number // 1_000),
                     ack=1_001,
                     data=REQUEST % number,
                 )
             )
-
-        def send_answer_data(number):
+            gevent.sleep(PACKET_INTERVAL_MS / 1000)
             send_answer(
                 _server_packet(
-                    number % 1_000,
-                    platform_standin.ACK,
-                    seq=1_001,
-                    ack=8,
-                    data=ANSWER,
+                    flow, platform_standin.ACK, seq=1_001, ack=8, data=ANSWER
                 )
             )
 
         cases = {
             'opening and its answer, us': open_flow,
-            'client packet with a request, us': send_request,
+            'request and its answer, us': request,
             'client packet without data, us': lambda n: send_envelope(
                 _packet(n % 1_000, platform_standin.ACK, seq=8, ack=1_001)
             ),
-            'server packet with an answer, us': send_answer_data,
             'server packet without data, us': lambda n: send_answer(
                 _server_packet(
                     n % 1_000, platform_standin.ACK, seq=1_001, ack=8
--- a/deploy/bin/module_archive.py
+++ b/deploy/bin/module_archive.py
@@ -15,9 +15,19 @@
 
 # CO_FUTURE_ANNOTATIONS; other future features are always on in Python 3.11.
 _FUTURE_FLAGS = 0x1000000
-# Standard modules that libraries import for functions which are not called
-# before the program runs. They are executed at the first use of an attribute.
-_DEFERRED_MODULES = frozenset(('inspect',))
+# Modules that libraries import for functions which are not called before the
+# program runs. They are executed at the first use of an attribute.
+_DEFERRED_MODULES = frozenset(
+    (
+        'attr.converters',
+        'attr.filters',
+        'attr.validators',
+        'attrs.converters',
+        'attrs.filters',
+        'attrs.validators',
+        'inspect',
+    )
+)
 
 
 class ModuleArchive:
