Send load reports and rank readers with less work

Cause: each report sorted its recipients by a search in a list, and each look at the schedule of reads hashed the names of all balancers.

Change: a set of the exact subscribers; hashes are remembered.

--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -1,7 +1,6 @@
 """Forwards packets between balancers, the backend server and clients."""
 
 import heapq
-import itertools
 
 import xxhash
 
@@ -412,11 +411,11 @@
 
     def _send_report(self, addresses):
         self._sequence += 1
-        exact = self._choose_exact_subscribers()
-        for is_exact, group in itertools.groupby(
-            sorted(addresses, key=exact.__contains__), exact.__contains__
-        ):
-            self._send_to_all(self._encode_report(is_exact), group)
+        exact = frozenset(self._choose_exact_subscribers())
+        for is_exact in (False, True):
+            group = [a for a in addresses if (a in exact) is is_exact]
+            if group:
+                self._send_to_all(self._encode_report(is_exact), group)
 
     def _send_to_all(self, report, addresses):
         for address in addresses:
--- a/packages/flows/src/kingcupport/flows/read_schedule.py
+++ b/packages/flows/src/kingcupport/flows/read_schedule.py
@@ -4,6 +4,8 @@
 fleet. Only a few balancers read; the others get the view from them.
 """
 
+import functools
+
 import xxhash
 
 # A withdrawn server may get new flows for at most 3,000 ms, and a
@@ -129,6 +131,8 @@
         return max(due_ms, self._backoff_until_ms)
 
 
+# Called for every known balancer on each look at the schedule.
+@functools.lru_cache(maxsize=2_048)
 def _name_hash(name):
     return xxhash.xxh3_64_intdigest(name.encode())
 
