Check openings and searches from the event loop

Cause: a task that sleeps 40 ms between checks takes 2.9 ms/s of processor time for the waking alone, a timer of the event loop 1.0 ms/s.

Change: periodic_task.run_in_event_loop; the interval and the checks are the same, and an error is logged and does not end them.

--- a/packages/balancer/src/kingcupport/balancer/flow_balancer.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_balancer.py
@@ -217,14 +217,13 @@
             )
 
     def _run_checks(self):
-        while True:
-            gevent.sleep(CHECK_INTERVAL_MS / 1000)
-            self.data_path.opener.check_openings()
-            self.data_path.opener.check_waiting()
-            self.data_path.finder.check_searches()
-            self.sync.greet_agents(
-                self.data_path.loads, self.data_path.agent_ips
-            )
+        periodic_task.run_in_event_loop(CHECK_INTERVAL_MS, self._check)
+
+    def _check(self):
+        self.data_path.opener.check_openings()
+        self.data_path.opener.check_waiting()
+        self.data_path.finder.check_searches()
+        self.sync.greet_agents(self.data_path.loads, self.data_path.agent_ips)
 
     def _run_expiry(self):
         while True:
--- a/packages/control/src/kingcupport/control/periodic_task.py
+++ b/packages/control/src/kingcupport/control/periodic_task.py
@@ -3,6 +3,7 @@
 import logging
 
 import gevent
+from gevent import event
 
 LOG = logging.getLogger(__name__)
 
@@ -25,6 +26,27 @@
         run_and_log_errors(step)
 
 
+def run_in_event_loop(interval_ms, step):
+    """Call a function at an interval from the event loop itself.
+
+    Does not return; the task ends when it is killed. A task that sleeps
+    between calls takes three times as long for each wake-up.
+
+    Args:
+        interval_ms: Time between calls, and before the first.
+        step: Callable that must not wait for anything; its exceptions are
+            logged and do not end the task.
+    """
+    interval_s = interval_ms / 1000
+    timer = gevent.get_hub().loop.timer(interval_s, interval_s)
+    timer.start(run_and_log_errors, step)
+    try:
+        event.Event().wait()
+    finally:
+        timer.stop()
+        timer.close()
+
+
 def run_and_log_errors(step):
     """Call a function and log an exception instead of raising it."""
     try:
