Limit the opening packets of cold servers at their agent

Cause: a service can say how many opening packets a second its cold servers take (`cold_per_s`), but balancers only ranked cold servers a little lower, so that a returning data centre got everything at once.

Change: balancers send openings for cold servers of such a service as `PacedEnvelope`; the agent keeps a sliding window of one second over all openings and declines the rest with `PACED`. Balancers then try another server and spare this one for the mean time between two openings; without another one the flow waits. Copies of known flows are dropped, not declined. Limits pass between peers behind the compressed configuration, where former versions ignore them. Without a rate all datagrams are as before.

--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -178,6 +178,9 @@
             'flows_open': held_flows.open_count,
             'flows_evicted_open': held_flows.evicted_open_count,
             'requests_running': held_flows.running,
+            'cold_limit': -1
+            if self.data_path.cold_limit.limit is None
+            else self.data_path.cold_limit.limit,
             'answers_failing_percent': held_flows.failing_percent(),
         }
 
--- a/packages/agent/src/kingcupport/agent/flow_counters.py
+++ b/packages/agent/src/kingcupport/agent/flow_counters.py
@@ -22,6 +22,7 @@
     surveys: int = 0
     bounces: int = 0
     declines: int = 0
+    openings_paced: int = 0
     flows_accepted: int = 0
     answers: int = 0
     reports_sent: int = 0
--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from kingcupport.common import errors
+from kingcupport.flows import cold_limit
 from kingcupport.flows import held_flows
 from kingcupport.flows import holder_survey
 from kingcupport.flows import server_probes
@@ -43,6 +44,7 @@
     Attributes:
         held_flows: HeldFlows of the server.
         surveys: HolderSurveys for balancers.
+        cold_limit: ColdLimit of the server.
         is_leaving: Whether the agent is about to stop.
     """
 
@@ -76,6 +78,9 @@
         )
         self.surveys = holder_survey.make_holder_surveys(clock)
         self._probes = server_probes.make_server_probes(clock)
+        self.cold_limit = cold_limit.make_cold_limit(
+            clock, settings.cold_excess, settings.cold_slack
+        )
         self._rng = rng
         self._boot = rng.getrandbits(32)
         self._sequence = 0
@@ -99,6 +104,10 @@
         if isinstance(datagram, flow_datagrams.FlowEnvelope):
             self._on_envelope(datagram, source)
             self._report_change()
+        elif isinstance(datagram, flow_datagrams.PacedEnvelope):
+            self._set_cold_limit(datagram)
+            self._on_envelope(datagram, source)
+            self._report_change()
         elif isinstance(datagram, flow_datagrams.FlowQuery):
             holding = self.held_flows.holding(
                 datagram.flow, datagram.acknowledged
@@ -190,6 +199,19 @@
         if reason is not None:
             self._decline(reason, envelope.packet_data, source)
             return
+        if packet.is_open:
+            if not self.cold_limit.has_room():
+                self._counters.openings_paced += 1
+                if self.held_flows.get(packet.flow) is None:
+                    self._decline(
+                        flow_datagrams.DeclineReason.PACED,
+                        envelope.packet_data,
+                        source,
+                    )
+                # A copy is dropped: the server may hold the flow already, and
+                # the client sends the next copy.
+                return
+            self.cold_limit.on_opening()
         held_flow = self.held_flows.on_client_packet(
             packet, envelope.packet_data, source
         )
@@ -208,6 +230,23 @@
                     packet.flow, flow_datagrams.Holding.YES, source
                 )
 
+    def _set_cold_limit(self, envelope):
+        if envelope.service != self._settings.service:
+            return
+        previous = self.cold_limit.limit
+        if (
+            self.cold_limit.set(envelope.openings_per_s, envelope.cold_left_ms)
+            and self.cold_limit.limit != previous
+        ):
+            self._decisions.write(
+                'cold limit set',
+                {
+                    'limit': self.cold_limit.limit,
+                    'previous_limit': previous,
+                    'cold_left_ms': envelope.cold_left_ms,
+                },
+            )
+
     def _on_probe(self, data, source):
         packet = self._format.read_from_client(data)
         if packet is None or packet.is_open:
--- a/packages/agent/src/kingcupport/agent/flow_settings.py
+++ b/packages/agent/src/kingcupport/agent/flow_settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kingcupport.common import address
+from kingcupport.flows import cold_limit
 
 
 @attrs.define
@@ -22,6 +23,9 @@
         max_flow_ms: Age after which a flow may be dropped.
         stop_after_ms: Maximum time for which a stopping agent still forwards
             packets.
+        cold_excess: Greatest multiple of the rate of a cold server that it may
+            get in any second.
+        cold_slack: Number of opening packets on top of that.
     """
 
     name: str
@@ -34,3 +38,5 @@
     is_first_start: bool = False
     max_flow_ms: int = 60_000
     stop_after_ms: int = 4_500
+    cold_excess: float = cold_limit.DEFAULT_EXCESS
+    cold_slack: float = cold_limit.DEFAULT_SLACK
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -7,6 +7,7 @@
 from kingcupport.balancer import holder_finder
 from kingcupport.balancer import opening_hold
 from kingcupport.balancer import server_index
+from kingcupport.flows import cold_servers
 from kingcupport.flows import flow_placement
 from kingcupport.flows import flow_table as flow_table_module
 from kingcupport.flows import server_loads
@@ -92,6 +93,9 @@
             self._send_to,
             request_read,
         )
+        self._cold_servers = cold_servers.make_cold_servers(
+            clock, view, self._index
+        )
         self.opener = flow_opener.FlowOpener(
             clock,
             packet_format,
@@ -107,8 +111,9 @@
             opening_hold.make_opening_hold(
                 clock, view, request_read, settings.evacuation_ms
             ),
+            self._cold_servers,
             find_route=self._find_route,
-            forward=self._forward,
+            forward=self._forward_opening,
             call_later=call_later,
         )
         self._early_packets = collections.deque(maxlen=MAX_EARLY_PACKETS)
@@ -205,6 +210,18 @@
         envelope = flow_datagrams.FlowEnvelope(entry.service, slot_limit, data)
         self._send_to(entry.ip, envelope)
 
+    def _forward_opening(self, entry, data, slot_limit=0):
+        pace = self._cold_servers.pace(entry.ip)
+        if pace is None:
+            self._forward(entry, data, slot_limit)
+            return
+        self._send_to(
+            entry.ip,
+            flow_datagrams.PacedEnvelope(
+                entry.service, slot_limit, *pace, data
+            ),
+        )
+
     def _send_to(self, ip, datagram):
         self._send_to_agent(
             flow_datagrams.encode(datagram), (ip, self._settings.agent_port)
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -39,6 +39,7 @@
         counters: FlowCounters.
         decisions: DecisionLog.
         hold: OpeningHold.
+        cold_servers: ColdServers.
         find_route: ``find_route(flow)`` returns a FlowRoute or None.
         forward: ``forward(entry, data, slot_limit)`` sends a packet to the
             agent of a FlowEntry.
@@ -60,6 +61,7 @@
         counters,
         decisions,
         hold,
+        cold_servers,
         *,
         find_route,
         forward,
@@ -75,11 +77,14 @@
         self._counters = counters
         self._decisions = decisions
         self._hold = hold
+        self._cold_servers = cold_servers
         self._find_route = find_route
         self._forward = forward
         self._call_later = call_later
         # Services whose late flows are placed soon.
         self._yielding = set()
+        # Services whose cold servers have room again soon.
+        self._paced = set()
         self.waiting = opening_queue.make_opening_queue(clock)
         # (deadline_ms, flow, server name) of the packets that were sent,
         # ordered by deadline because all have the same timeout.
@@ -128,6 +133,8 @@
             return
         if reason == flow_datagrams.DeclineReason.BUSY:
             self._on_busy(entry)
+        elif reason == flow_datagrams.DeclineReason.PACED:
+            self._on_paced(entry)
         else:
             self._place_again(entry, reason.name.lower())
 
@@ -172,6 +179,8 @@
             limit = 0
             if server is not None:
                 limit = self._placement.slot_limit_after_wait(opening, server)
+            elif self._place_after_pause(opening.service):
+                limit = None
             if limit is None:
                 packet = self._format.read_from_client(opening.data)
                 waited_ms = self._clock.monotonic_ms() - opening.queued_ms
@@ -204,6 +213,8 @@
                 limit = self._placement.slot_limit(
                     server, self.waiting.is_late(opening)
                 )
+            elif self._place_after_pause(service):
+                limit = None
             if limit is None:
                 self.waiting.requeue(opening)
                 return
@@ -223,16 +234,19 @@
     def _place(self, packet, data, route):
         service = route.choose_service(packet.flow)
         server = self._choose(packet.flow, service, ())
-        if server is None:
+        if server is None and not self._place_after_pause(service):
             self._refusals.refuse(
                 packet, self._no_server_reason(service), service
             )
             return
         now_ms = self._clock.monotonic_ms()
         opened_ms = now_ms - packet.opening_age_ms
-        limit = self._placement.slot_limit(
-            server, opening_queue.latest_start_ms(route, opened_ms) <= now_ms
-        )
+        limit = None
+        if server is not None:
+            limit = self._placement.slot_limit(
+                server,
+                opening_queue.latest_start_ms(route, opened_ms) <= now_ms,
+            )
         if limit is not None:
             self._register_and_send(
                 packet.flow, server, data, limit, opened_ms
@@ -343,6 +357,49 @@
         self._table.forget(entry.flow)
         self.place_waiting(entry.service)
 
+    def _on_paced(self, entry):
+        """Try another server, or wait until a cold one has room again."""
+        self._loads.on_opening_resolved(entry.ip, entry.flow)
+        self._loads.on_paced(
+            entry.ip, self._cold_servers.pause_ms(entry.service)
+        )
+        route = self._find_route(entry.flow)
+        if route is None or not self.waiting.put(
+            entry.flow,
+            entry.service,
+            entry.opening_data,
+            route,
+            entry.opened_ms,
+            entry.wait_deadline_ms,
+        ):
+            self._place_again(entry, 'paced')
+            return
+        self._table.forget(entry.flow)
+        self._place_after_pause(entry.service)
+        self.place_waiting(entry.service)
+
+    def _place_after_pause(self, service):
+        """Place waiting flows once a cold server has room again.
+
+        Returns:
+            Whether some server of the service is cold and at its limit.
+        """
+        pause_ms = self._placement.paced_ms(
+            self._index.by_service.get(service, ())
+        )
+        if pause_ms is None:
+            return False
+        if service not in self._paced:
+            self._paced.add(service)
+
+            def place():
+                self._paced.discard(service)
+                self._place_after_pause(service)
+                self.place_waiting(service)
+
+            self._call_later(pause_ms, place)
+        return True
+
     def _will_report_room(self, service):
         """Whether some server reports every change of its load."""
         servers = self._index.by_service.get(service, ())
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -178,10 +178,21 @@
         Args:
             configuration: FlowConfiguration from any source.
         """
-        if configuration.version <= self.configuration.version:
-            return
         previous = self.configuration
-        self.configuration = configuration
+        if configuration.version <= previous.version:
+            self._complete_cold_limits(configuration)
+            return
+        kept_limits = {
+            name: previous.cold_limits[name]
+            for name, _ in configuration.rejected_cold_limits
+            if name in previous.cold_limits
+        }
+        self.configuration = attrs.evolve(
+            configuration,
+            cold_limits={**configuration.cold_limits, **kept_limits},
+        )
+        for name, reason in configuration.rejected_cold_limits:
+            self._notify('cold_limit_rejected', service=name, reason=reason)
         self._encoded = None
         self._notify(
             'configuration_accepted',
@@ -191,6 +202,18 @@
             removed_routes=len(previous.routes.keys() - configuration.routes),
         )
 
+    def _complete_cold_limits(self, configuration):
+        # A peer of a former version passes a configuration on without limits.
+        if (
+            configuration.version == self.configuration.version
+            and configuration.cold_limits
+            and not self.configuration.cold_limits
+        ):
+            self.configuration = attrs.evolve(
+                self.configuration, cold_limits=configuration.cold_limits
+            )
+            self._encoded = None
+
     def apply_difference(self, plain):
         """Merge the result of a peer's ``difference_since``.
 
--- a/packages/flows/src/kingcupport/flows/flow_placement.py
+++ b/packages/flows/src/kingcupport/flows/flow_placement.py
@@ -66,6 +66,7 @@
             if not server.is_draining
             and server.name not in tried
             and not self.is_evacuated(server)
+            and not self._loads.paced_ms(server.ip)
         ]
         usable = [s for s in candidates if self._loads.is_usable(s.ip)]
         # Without a usable server, fall back to all that are not leaving: an
@@ -77,6 +78,25 @@
             return None
         return min(eligible, key=lambda server: self._rank(flow, server))
 
+    def paced_ms(self, servers):
+        """Return when a cold server that is at its limit has room again.
+
+        Args:
+            servers: FlowServer objects of the service.
+
+        Returns:
+            Time until then, or None if no server that takes new flows is at
+            its limit.
+        """
+        pauses_ms = [
+            self._loads.paced_ms(server.ip)
+            for server in servers
+            if not server.is_draining
+            and not self.is_evacuated(server)
+            and not self._loads.get(server.ip).is_leaving
+        ]
+        return min(filter(None, pauses_ms), default=None)
+
     def is_evacuated(self, server):
         """Whether the data centre of a server is evacuated.
 
--- a/packages/flows/src/kingcupport/flows/flow_route.py
+++ b/packages/flows/src/kingcupport/flows/flow_route.py
@@ -7,6 +7,8 @@
 import msgpack
 import xxhash
 
+from kingcupport.flows import cold_limit
+
 # Limit on a decompressed configuration; one of 1,200 routes has 55 KB.
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 
@@ -73,11 +75,18 @@
         routes: FlowRoute by ``(ip, port)``.
         idle_timeout_ms: Time without a packet after which a flow may be
             dropped.
+        cold_limits: ``(openings_per_s, cold_ms)`` by the name of the service:
+            the opening packets that a cold server can take, and for how long a
+            server is cold. Services without a limit are left out.
+        rejected_cold_limits: Names of the services whose limit is not valid,
+            each with the reason; not sent to peers.
     """
 
     version: int
     routes: dict
     idle_timeout_ms: int = 60_000
+    cold_limits: dict = attrs.field(factory=dict)
+    rejected_cold_limits: tuple = ()
 
     @functools.cached_property
     def service_names(self):
@@ -99,7 +108,8 @@
     """Return a configuration as bytes for a peer.
 
     They are compressed, because the routes differ in few places and a whole
-    configuration may go to many peers over a slow link.
+    configuration may go to many peers over a slow link. Limits of cold servers
+    follow the compressed part, where former versions ignore them.
     """
     plain = [
         configuration.version,
@@ -117,7 +127,16 @@
             for route in configuration.routes.values()
         ],
     ]
-    return zlib.compress(msgpack.packb(plain))
+    data = zlib.compress(msgpack.packb(plain))
+    if configuration.cold_limits:
+        rows = [
+            [name, float(openings_per_s), cold_ms]
+            for name, (openings_per_s, cold_ms) in sorted(
+                configuration.cold_limits.items()
+            )
+        ]
+        data += msgpack.packb(rows)
+    return data
 
 
 def decode_configuration(data):
@@ -131,6 +150,11 @@
     try:
         packed = decompressor.decompress(data, MAX_CONFIGURATION_BYTES)
         plain = msgpack.unpackb(packed)
+        rows = (
+            msgpack.unpackb(decompressor.unused_data)
+            if decompressor.unused_data
+            else []
+        )
     except (zlib.error, msgpack.UnpackException, RecursionError) as error:
         raise ValueError(f'configuration is damaged: {error}') from None
     version, idle_timeout_ms, plain_routes = plain
@@ -138,10 +162,23 @@
         raise ValueError('version or idle timeout is not an integer')
     routes = list(map(_decode_route, plain_routes))
     return FlowConfiguration(
-        version, {route.address: route for route in routes}, idle_timeout_ms
+        version,
+        {route.address: route for route in routes},
+        idle_timeout_ms,
+        dict(map(_decode_cold_limit, rows)),
     )
 
 
+def _decode_cold_limit(row):
+    name, openings_per_s, cold_ms = row
+    if tuple(map(type, row)) != (str, float, int) or not (
+        0 < openings_per_s <= cold_limit.MAX_OPENINGS_PER_S
+        and 0 <= cold_ms <= cold_limit.MAX_COLD_MS
+    ):
+        raise ValueError('limit of cold servers has an invalid field')
+    return name, (openings_per_s, cold_ms)
+
+
 def _decode_route(plain):
     name, (ip, port), services, *rest = plain
     if (type(name), type(ip), type(port), *map(type, rest)) != _ROUTE_TYPES:
--- a/packages/flows/src/kingcupport/flows/server_loads.py
+++ b/packages/flows/src/kingcupport/flows/server_loads.py
@@ -32,6 +32,8 @@
         unconfirmed: Expiry times by flow of the opening packets that were
             sent to the server and are not included in a report yet.
         former_boots: Ids of the agent processes before ``boot``, latest last.
+        paced_until_ms: Time until which the server gets no new flows, because
+            it is cold and at its limit.
     """
 
     boot: int = 0
@@ -46,6 +48,7 @@
     avoid_until_ms: float = 0.0
     unconfirmed: dict = attrs.field(factory=dict)
     former_boots: tuple = ()
+    paced_until_ms: float = 0.0
 
 
 class ServerLoads:
@@ -130,6 +133,22 @@
         load.running = max(load.running, slots)
         load.reported_ms = self._clock.monotonic_ms()
 
+    def on_paced(self, ip, pause_ms):
+        """Record that a cold server is at its limit.
+
+        Args:
+            ip: Address of its instance.
+            pause_ms: Time for which it gets no new flows.
+        """
+        self.get(ip).paced_until_ms = self._clock.monotonic_ms() + pause_ms
+
+    def paced_ms(self, ip):
+        """Return for how long a server still gets no new flows, or 0."""
+        load = self._loads.get(ip)
+        if load is None or not load.paced_until_ms:
+            return 0.0
+        return max(0.0, load.paced_until_ms - self._clock.monotonic_ms())
+
     def avoid(self, ip, avoid_ms=AVOID_MS):
         """Use a server only as a last resort for ``avoid_ms``."""
         load = self.get(ip)
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -31,6 +31,8 @@
     ENDED = 4
     # The server belongs to another service.
     OTHER_SERVICE = 5
+    # The server is cold and got as many opening packets as it can take.
+    PACED = 6
 
 
 class Holding(enum.IntEnum):
@@ -245,6 +247,26 @@
     unanswered_ips: list
 
 
+@_register_datagram(13)
+@attrs.define
+class PacedEnvelope:
+    """Carries an opening packet to the agent of a cold server with a limit.
+
+    Args:
+        service: Name of the service that the packet is addressed to.
+        slot_limit: As in FlowEnvelope.
+        openings_per_s: Opening packets a second that the server can take.
+        cold_left_ms: How long the server is still cold.
+        packet_data: Bytes of the packet.
+    """
+
+    service: str
+    slot_limit: int
+    openings_per_s: float
+    cold_left_ms: int
+    packet_data: bytes = b''
+
+
 def _header_fields(datagram_class):
     return [
         field
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -39,6 +39,15 @@
     assert settings.evacuation_ms == 0
 
 
+def test_bounds_of_cold_servers_have_defaults():
+    settings = boot_settings.parse_boot_settings(AGENT_SETTINGS)
+    assert (settings.cold_excess, settings.cold_slack) == (1.5, 5.0)
+    settings = boot_settings.parse_boot_settings(
+        AGENT_SETTINGS + 'bounds.cold_excess=1.25\nbounds.cold_slack=0\n'
+    )
+    assert (settings.cold_excess, settings.cold_slack) == (1.25, 0.0)
+
+
 def test_bound_of_evacuations_is_optional():
     text = AGENT_SETTINGS + 'bounds.evacuation_ms=5000\n'
     assert boot_settings.parse_boot_settings(text).evacuation_ms == 5_000
@@ -54,6 +63,8 @@
         ('max_flow_s=60', 'max_flow_s=soon', 'max_flow_s'),
         ('max_flow_s=60', 'max_flow_s=nan', 'max_flow_s'),
         ('max_flow_s=60', 'evacuation_ms=x', 'evacuation_ms'),
+        ('max_flow_s=60', 'cold_slack=-1', 'cold_slack'),
+        ('max_flow_s=60', 'cold_excess=0', 'cold_excess'),
     ],
 )
 def test_error_names_the_invalid_key(old, new, key):
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -209,6 +209,69 @@
     assert flow_route.encode_configuration(configuration)
 
 
+def decode_services(*services):
+    item = make_item(
+        {**CONFIGURATION, 'services': list(services)}, 'op/config'
+    )
+    return store_entries.decode_configuration(item)
+
+
+def test_limits_of_cold_servers_are_decoded():
+    configuration = decode_services(
+        {'name': 'a', 'cold_s': 12.5, 'cold_per_s': 8},
+        {'name': 'b', 'cold_s': 12.5, 'cold_per_s': 0.0},
+        {'name': 'c', 'cold_s': 12.5},
+        {'name': 'd', 'cold_per_s': 0.25},
+        {'name': 'e', 'cold_per_s': 1_000_000, 'cold_s': 'long'},
+    )
+    assert configuration.cold_limits == {
+        'a': (8.0, 12_500),
+        'd': (0.25, 0),
+        'e': (1_000_000.0, 0),
+    }
+    assert not configuration.rejected_cold_limits
+    assert (
+        flow_route.decode_configuration(
+            flow_route.encode_configuration(configuration)
+        )
+        == configuration
+    )
+
+
+@pytest.mark.parametrize(
+    'rate',
+    [
+        -0.1,
+        float('nan'),
+        float('inf'),
+        1_000_000.5,
+        10**400,
+        '8',
+        True,
+        None,
+        [],
+    ],
+)
+def test_invalid_rate_of_cold_servers_is_rejected_alone(rate):
+    """The routes of the configuration come into force all the same."""
+    configuration = decode_services(
+        {'name': 'a', 'cold_per_s': rate}, {'name': 'b', 'cold_per_s': 3.0}
+    )
+    assert configuration.routes
+    assert configuration.cold_limits == {'b': (3.0, 0)}
+    assert [name for name, _ in configuration.rejected_cold_limits] == ['a']
+
+
+@pytest.mark.parametrize(
+    'services', [None, 7, {}, 'x', [7], [{}], [{'cold_per_s': 3.0}]]
+)
+def test_odd_services_set_no_limit(services):
+    item = make_item({**CONFIGURATION, 'services': services}, 'op/config')
+    configuration = store_entries.decode_configuration(item)
+    assert configuration.routes
+    assert not configuration.cold_limits
+
+
 @pytest.mark.parametrize('key', ['timeout_ms', 'name', 'host', 'service'])
 def test_route_that_no_peer_could_be_told_of_is_rejected_or_bounded(key):
     value = 2**64 if key == 'timeout_ms' else '\ud800'
--- a/tests/wire/test_flow_datagrams.py
+++ b/tests/wire/test_flow_datagrams.py
@@ -11,6 +11,7 @@
 
 SAMPLES = [
     flow_datagrams.FlowEnvelope('gate', 1, b'packet'),
+    flow_datagrams.PacedEnvelope('gate', 1, 2.5, 3_000, b'packet'),
     flow_datagrams.FlowDecline(1, b'packet'),
     flow_datagrams.FlowQuery(b'flow', 7),
     flow_datagrams.FlowStatus(b'flow', 1),
