Merge the limit of cold servers

Cause: balancers gave everything at once to the cold servers of a data centre that came back. A flow that a cold server declines goes through the admission policy like one that a busy server declines.

--- a/packages/agent/src/kingcupport/agent/flow_settings.py
+++ b/packages/agent/src/kingcupport/agent/flow_settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kingcupport.common import address
+from kingcupport.flows import cold_limit
 
 
 @attrs.define
@@ -23,6 +24,9 @@
         stop_after_ms: Maximum time for which a stopping agent still forwards
             packets.
         features: Names of the optional features that are switched on.
+        cold_excess: Greatest multiple of the rate of a cold server that it may
+            get in any second.
+        cold_slack: Number of opening packets on top of that.
     """
 
     name: str
@@ -36,3 +40,5 @@
     max_flow_ms: int = 60_000
     stop_after_ms: int = 4_500
     features: frozenset = frozenset()
+    cold_excess: float = cold_limit.DEFAULT_EXCESS
+    cold_slack: float = cold_limit.DEFAULT_SLACK
--- a/packages/balancer/src/kingcupport/balancer/flow_data_path.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_data_path.py
@@ -8,6 +8,7 @@
 from kingcupport.balancer import opening_hold
 from kingcupport.balancer import server_index
 from kingcupport.flows import admission
+from kingcupport.flows import cold_servers
 from kingcupport.flows import flow_placement
 from kingcupport.flows import flow_table as flow_table_module
 from kingcupport.flows import server_loads
@@ -97,6 +98,9 @@
         self._policy = admission.make_admission_policy(
             clock, settings.features, self._priorities
         )
+        self._cold_servers = cold_servers.make_cold_servers(
+            clock, view, self._index
+        )
         self.opener = flow_opener.FlowOpener(
             clock,
             packet_format,
@@ -117,8 +121,9 @@
                 clock, view, request_read, settings.evacuation_ms
             ),
             self._policy,
+            self._cold_servers,
             find_route=self._find_route,
-            forward=self._forward,
+            forward=self._forward_opening,
             call_later=call_later,
         )
         self._early_packets = collections.deque(maxlen=MAX_EARLY_PACKETS)
@@ -217,6 +222,18 @@
         envelope = flow_datagrams.FlowEnvelope(entry.service, slot_limit, data)
         self._send_to(entry.ip, envelope)
 
+    def _forward_opening(self, entry, data, slot_limit=0):
+        pace = self._cold_servers.pace(entry.ip)
+        if pace is None:
+            self._forward(entry, data, slot_limit)
+            return
+        self._send_to(
+            entry.ip,
+            flow_datagrams.PacedEnvelope(
+                entry.service, slot_limit, *pace, data
+            ),
+        )
+
     def _send_to(self, ip, datagram):
         self._send_to_agent(
             flow_datagrams.encode(datagram), (ip, self._settings.agent_port)
--- a/packages/balancer/src/kingcupport/balancer/flow_opener.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_opener.py
@@ -40,6 +40,7 @@
         decisions: DecisionLog.
         hold: OpeningHold.
         policy: AdmissionPolicy.
+        cold_servers: ColdServers.
         find_route: ``find_route(flow)`` returns a FlowRoute or None.
         forward: ``forward(entry, data, slot_limit)`` sends a packet to the
             agent of a FlowEntry.
@@ -62,6 +63,7 @@
         decisions,
         hold,
         policy,
+        cold_servers,
         *,
         find_route,
         forward,
@@ -77,11 +79,14 @@
         self._counters = counters
         self._decisions = decisions
         self._hold = hold
+        self._cold_servers = cold_servers
         self._find_route = find_route
         self._forward = forward
         self._call_later = call_later
         # Services whose late flows are placed soon.
         self._yielding = set()
+        # Services whose cold servers have room again soon.
+        self._paced = set()
         self._policy = policy
         self.waiting = opening_queue.make_opening_queue(clock, policy)
         # (deadline_ms, flow, server name) of the packets that were sent,
@@ -131,6 +136,8 @@
             return
         if reason == flow_datagrams.DeclineReason.BUSY:
             self._on_busy(entry)
+        elif reason == flow_datagrams.DeclineReason.PACED:
+            self._on_paced(entry)
         else:
             self._place_again(entry, reason.name.lower())
 
@@ -180,6 +187,8 @@
             limit = 0
             if server is not None:
                 limit = self._placement.slot_limit_after_wait(opening, server)
+            elif self._place_after_pause(opening.service):
+                limit = None
             if limit is None:
                 self._refuse_overloaded(opening, admission.NO_ROOM)
             else:
@@ -210,6 +219,8 @@
             limit = 0
             if server is not None:
                 limit = self._slot_limit(server, opening)
+            elif self._place_after_pause(service):
+                limit = None
             if limit is None:
                 self.waiting.requeue(opening)
                 return
@@ -238,12 +249,14 @@
         server = self._choose(
             packet.flow, service, (), self.waiting.is_late(opening)
         )
-        if server is None:
+        if server is None and not self._place_after_pause(service):
             self._refusals.refuse(
                 packet, self._no_server_reason(service), service
             )
             return
-        limit = self._slot_limit(server, opening)
+        limit = None
+        if server is not None:
+            limit = self._slot_limit(server, opening)
         if limit is not None:
             self._register_and_send(
                 packet.flow, server, data, limit, opening.opened_ms
@@ -377,6 +390,17 @@
         if route is None or not self._will_report_room(entry.service):
             self._place_again(entry, 'busy')
             return
+        if not self._wait_again(entry, route):
+            self._place_again(entry, 'busy')
+            return
+        self.place_waiting(entry.service)
+
+    def _wait_again(self, entry, route):
+        """Queue a flow that a server declined, or refuse it.
+
+        Returns:
+            Whether that was possible; else the queue has no place.
+        """
         opening = self.waiting.make_opening(
             entry.flow,
             entry.service,
@@ -389,13 +413,47 @@
         if not self.waiting.put(opening, is_admitted=was_waiting):
             ((_, refusal),) = self.waiting.pop_refused()
             if refusal is admission.NO_ROOM:
-                self._place_again(entry, 'busy')
-                return
+                return False
             self._refuse_overloaded(opening, refusal)
         self._table.forget(entry.flow)
         self._refuse_chosen()
+        return True
+
+    def _on_paced(self, entry):
+        """Try another server, or wait until a cold one has room again."""
+        self._loads.on_opening_resolved(entry.ip, entry.flow)
+        self._loads.on_paced(
+            entry.ip, self._cold_servers.pause_ms(entry.service)
+        )
+        route = self._find_route(entry.flow)
+        if route is None or not self._wait_again(entry, route):
+            self._place_again(entry, 'paced')
+            return
+        self._place_after_pause(entry.service)
         self.place_waiting(entry.service)
 
+    def _place_after_pause(self, service):
+        """Place waiting flows once a cold server has room again.
+
+        Returns:
+            Whether some server of the service is cold and at its limit.
+        """
+        pause_ms = self._placement.paced_ms(
+            self._index.by_service.get(service, ())
+        )
+        if pause_ms is None:
+            return False
+        if service not in self._paced:
+            self._paced.add(service)
+
+            def place():
+                self._paced.discard(service)
+                self._place_after_pause(service)
+                self.place_waiting(service)
+
+            self._call_later(pause_ms, place)
+        return True
+
     def _will_report_room(self, service):
         """Whether some server reports every change of its load."""
         servers = self._index.by_service.get(service, ())
