Send the probes of several surveys, and their answers, in one datagram

Cause: after a total outage each lost flow takes a datagram to every agent and one back. 2,000 flows among 65 agents are 260,000 datagrams within some 100 ms.

The first survey after a pause is sent at once, as a single probe.

--- a/packages/agent/src/kingcupport/agent/flow_agent.py
+++ b/packages/agent/src/kingcupport/agent/flow_agent.py
@@ -64,6 +64,7 @@
             send_to_client=self._balancer_socket.send,
             send_to_balancer=self._balancer_socket.send,
             on_pending=self._pending_event.set,
+            call_later=_call_later,
         )
         self._probes = probe_server.ProbeServer(
             settings.probe_address,
@@ -182,5 +183,11 @@
         }
 
 
+def _call_later(delay_ms, function):
+    gevent.spawn_later(
+        delay_ms / 1000, periodic_task.run_and_log_errors, function
+    )
+
+
 def _ignore_unreachable(destination):
     LOG.debug('balancer unreachable', extra={'ip': destination[0]})
--- a/packages/agent/src/kingcupport/agent/flow_counters.py
+++ b/packages/agent/src/kingcupport/agent/flow_counters.py
@@ -20,6 +20,8 @@
     datagrams_malformed: int = 0
     probes: int = 0
     surveys: int = 0
+    probe_batches: int = 0
+    batches_unanswered: int = 0
     bounces: int = 0
     declines: int = 0
     flows_accepted: int = 0
--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -8,6 +8,7 @@
 from kingcupport.common import errors
 from kingcupport.flows import held_flows
 from kingcupport.flows import holder_survey
+from kingcupport.flows import probe_batches
 from kingcupport.flows import server_probes
 from kingcupport.wire import flow_datagrams
 
@@ -22,6 +23,8 @@
 REPORT_FANOUT = 3
 # A server that did not answer is offered new flows again after this time.
 SILENT_SERVER_RETRY_MS = 1_000
+# Answers in one datagram: 50 bytes each at most.
+MAX_BATCHED_ANSWERS = 24
 
 
 class FlowDataPath:
@@ -39,6 +42,8 @@
         send_to_balancer: ``send(data, address)`` on the agent's socket.
         on_pending: Called when an opening packet waits for the server, or a
             survey for answers.
+        call_later: ``call_later(delay_ms, function)`` calls a function later;
+            None if probes are not sent in batches.
 
     Attributes:
         held_flows: HeldFlows of the server.
@@ -59,6 +64,7 @@
         send_to_client,
         send_to_balancer,
         on_pending,
+        call_later=None,
     ):
         self._settings = settings
         self._clock = clock
@@ -76,6 +82,11 @@
         )
         self.surveys = holder_survey.make_holder_surveys(clock)
         self._probes = server_probes.make_server_probes(clock)
+        self._call_later = call_later
+        self._batches = probe_batches.make_probe_batches(clock)
+        self._is_collecting = False
+        # Answers to batches that wait to be sent, by the agent that asked.
+        self._batched_answers = {}
         self._rng = rng
         self._boot = rng.getrandbits(32)
         self._sequence = 0
@@ -106,6 +117,12 @@
             self._send_status(datagram.flow, holding, source)
         elif isinstance(datagram, flow_datagrams.FlowProbe):
             self._on_probe(datagram.packet_data, source)
+        elif isinstance(datagram, flow_datagrams.FlowProbeBatch):
+            self._on_probe_batch(datagram, source)
+        elif isinstance(datagram, flow_datagrams.FlowStatusBatch):
+            self._batches.on_answer(source[0])
+            for status in datagram.statuses():
+                self._on_status(source[0], status)
         elif isinstance(datagram, flow_datagrams.FlowSearch):
             self._on_search(datagram, source)
         elif isinstance(datagram, flow_datagrams.FlowStatus):
@@ -159,6 +176,7 @@
         self.held_flows.drop_expired(self._settings.max_flow_ms)
         self._probes.drop_expired()
         self.surveys.drop_expired()
+        self._batches.drop_expired()
 
     def _check_server(self):
         now_ms = self._clock.monotonic_ms()
@@ -208,7 +226,7 @@
                     packet.flow, flow_datagrams.Holding.YES, source
                 )
 
-    def _on_probe(self, data, source):
+    def _on_probe(self, data, source, *, is_batched=False):
         packet = self._format.read_from_client(data)
         if packet is None or packet.is_open:
             self._counters.packets_malformed += 1
@@ -216,12 +234,14 @@
         holding = self.held_flows.holding(packet.flow, packet.acknowledged)
         if holding == flow_datagrams.Holding.UNKNOWN:
             self._counters.probes += 1
-            self._probes.add(packet, data, source)
+            self._probes.add(packet, data, source, is_batched=is_batched)
             self._send_to_server(
                 data, self._settings.server_address.as_tuple()
             )
         else:
-            self._send_status(packet.flow, holding, source)
+            self._answer_probe(
+                packet.flow, holding, source, is_batched=is_batched
+            )
 
     def _on_search(self, search, source):
         packet = self._format.read_from_client(search.packet_data)
@@ -232,12 +252,93 @@
         self._counters.surveys += 1
         self.surveys.start(packet.flow, source, search.number, ips)
         self._on_pending()
-        probe = flow_datagrams.encode(
-            flow_datagrams.FlowProbe(search.packet_data)
-        )
+        if self._is_collecting:
+            self._batches.add(ips, search.packet_data)
+            return
+        self._send_probes(ips, [search.packet_data])
+        if self._call_later is not None:
+            self._is_collecting = True
+            self._call_later(probe_batches.COLLECT_MS, self._send_batches)
+
+    def _send_batches(self):
+        batches = self._batches.pop_batches()
+        self._is_collecting = bool(batches)
+        for ips, packets in batches:
+            self._send_probes(ips, packets)
+        if batches:
+            self._call_later(probe_batches.COLLECT_MS, self._send_batches)
+        if len(self._batches):
+            self._call_later(
+                probe_batches.ANSWER_TIMEOUT_MS, self._ask_one_by_one
+            )
+
+    def _send_probes(self, ips, packets):
+        if len(packets) == 1:
+            datagram = flow_datagrams.FlowProbe(packets[0])
+        else:
+            self._counters.probe_batches += len(ips)
+            datagram = flow_datagrams.FlowProbeBatch(
+                [len(data) for data in packets], b''.join(packets)
+            )
+        encoded = flow_datagrams.encode(datagram)
         port = self._settings.agent_address.port
         for ip in ips:
-            self._send_to_balancer(probe, (ip, port))
+            self._send_to_balancer(encoded, (ip, port))
+
+    def _ask_one_by_one(self):
+        """Probe agents again that have not answered a batch."""
+        for ip, packets in self._batches.pop_unanswered():
+            self._counters.batches_unanswered += 1
+            for data in packets:
+                packet = self._format.read_from_client(data)
+                if self.surveys.is_unanswered(packet.flow, ip):
+                    self._send_probes([ip], [data])
+
+    def _on_probe_batch(self, batch, source):
+        try:
+            packets = batch.packets()
+        except errors.KingcupportError:
+            self._counters.datagrams_malformed += 1
+            return
+        # Also without answers yet, a batch is answered soon: it shows that
+        # this revision knows batches.
+        self._start_batched_answers(source)
+        for data in packets:
+            self._on_probe(data, source, is_batched=True)
+
+    def _start_batched_answers(self, destination):
+        if destination not in self._batched_answers:
+            self._batched_answers[destination] = []
+            self._call_soon(lambda: self._send_batched_answers(destination))
+
+    def _call_soon(self, function):
+        if self._call_later is None:
+            function()
+        else:
+            self._call_later(probe_batches.COLLECT_MS, function)
+
+    def _send_batched_answers(self, destination):
+        answers = self._batched_answers.pop(destination)
+        for start in range(0, max(1, len(answers)), MAX_BATCHED_ANSWERS):
+            self._send_to_balancer(
+                flow_datagrams.encode(
+                    flow_datagrams.FlowStatusBatch(
+                        answers[start : start + MAX_BATCHED_ANSWERS]
+                    )
+                ),
+                destination,
+            )
+
+    def _answer_probe(self, flow, holding, destination, *, is_batched):
+        if not is_batched or holding == flow_datagrams.Holding.YES:
+            self._send_status(flow, holding, destination)
+            return
+        self._start_batched_answers(destination)
+        answers = self._batched_answers.get(destination)
+        if answers is None:
+            self._send_status(flow, holding, destination)
+        else:
+            answers.append([flow, int(holding)])
 
     def _on_status(self, ip, status):
         report = self.surveys.on_status(ip, status)
@@ -337,8 +438,11 @@
             probe = self._probes.take(packet.flow)
         if probe is not None:
             self.held_flows.is_silent = False
-            self._send_status(
-                packet.flow, flow_datagrams.Holding.NO, probe.sender
+            self._answer_probe(
+                packet.flow,
+                flow_datagrams.Holding.NO,
+                probe.sender,
+                is_batched=probe.is_batched,
             )
             return None
         held_flow, reason = self.held_flows.on_bounce(packet)
--- a/packages/flows/src/kingcupport/flows/holder_survey.py
+++ b/packages/flows/src/kingcupport/flows/holder_survey.py
@@ -101,6 +101,16 @@
             return None
         return self._report(survey, '', ())
 
+    def is_unanswered(self, flow, ip):
+        """Whether the survey about a flow waits for the answer of an agent.
+
+        Args:
+            flow: Bytes that identify the flow.
+            ip: Address of the agent.
+        """
+        survey = self._unreported.get(flow)
+        return survey is not None and ip in survey.unanswered
+
     def pop_overdue(self):
         """Return ``(balancer, result)`` pairs of the surveys past deadline."""
         now_ms = self._clock.monotonic_ms()
--- a/packages/flows/src/kingcupport/flows/server_probes.py
+++ b/packages/flows/src/kingcupport/flows/server_probes.py
@@ -20,12 +20,15 @@
         sender: ``(ip, port)`` of the agent that waits for the result.
         expires_ms: When a packet of the server is no longer taken as the
             reaction, on the monotonic clock.
+        is_batched: Whether it came in a batch, so that the sender knows
+            answers in batches.
     """
 
     packet: object
     data: bytes
     sender: tuple
     expires_ms: float
+    is_batched: bool = False
 
 
 class ServerProbes:
@@ -39,18 +42,19 @@
         self._clock = clock
         self._probes = collections.OrderedDict()
 
-    def add(self, packet, data, sender):
+    def add(self, packet, data, sender, *, is_batched=False):
         """Remember a probe.
 
         Args:
             packet: FlowPacket.
             data: Its bytes.
             sender: ``(ip, port)`` of the agent that waits for the result.
+            is_batched: Whether it came in a batch.
         """
         now_ms = self._clock.monotonic_ms()
         self._probes.pop(packet.flow, None)
         self._probes[packet.flow] = ServerProbe(
-            packet, data, sender, now_ms + PROBE_TIMEOUT_MS
+            packet, data, sender, now_ms + PROBE_TIMEOUT_MS, is_batched
         )
         if len(self._probes) > MAX_PROBES:
             self._probes.popitem(last=False)
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import itertools
 
 import attrs
 import msgpack
@@ -245,6 +246,61 @@
     unanswered_ips: list
 
 
+@_register_datagram(15)
+@attrs.define
+class FlowProbeBatch:
+    """Carries what several FlowProbe datagrams to one agent would.
+
+    The agent answers with FlowStatusBatch datagrams. The first one comes soon,
+    with the answers known by then, even if there are none. Agents of former
+    revisions ignore the code.
+
+    Args:
+        sizes: Number of bytes of each packet.
+        packet_data: Bytes of the packets, in this order.
+    """
+
+    sizes: list
+    packet_data: bytes = b''
+
+    def packets(self):
+        """Return the bytes of each packet.
+
+        Raises:
+            WireError: The sizes do not match the bytes.
+        """
+        if not all(
+            type(size) is int and size > 0 for size in self.sizes
+        ) or sum(self.sizes) != len(self.packet_data):
+            raise _datagram_error('sizes of the packets do not match them')
+        ends = itertools.accumulate(self.sizes)
+        return [
+            self.packet_data[end - size : end]
+            for size, end in zip(self.sizes, ends, strict=True)
+        ]
+
+
+@_register_datagram(16)
+@attrs.define
+class FlowStatusBatch:
+    """Carries what several FlowStatus datagrams to one agent would.
+
+    Args:
+        answers: Lists of a flow and a Holding value.
+    """
+
+    answers: list
+
+    def statuses(self):
+        """Return the FlowStatus of each well-formed answer."""
+        return [
+            FlowStatus(*answer)
+            for answer in self.answers
+            if isinstance(answer, list)
+            and [type(value) for value in answer] == [bytes, int]
+        ]
+
+
 def _header_fields(datagram_class):
     return [
         field
--- a/tests/balancer/test_flow_recovery.py
+++ b/tests/balancer/test_flow_recovery.py
@@ -18,6 +18,8 @@
 # Datagrams of a flow that a client opens instead, with all copies.
 MAX_DATAGRAMS_PER_OPENING = 20
 MAX_NOTICE_MS = 500
+# The same if surveys come in bursts, so that their probes are batched.
+MAX_DATAGRAMS_PER_AGENT_IN_BURSTS = 1
 BALANCERS = 16
 SERVERS = 45
 
@@ -57,7 +59,9 @@
     fleet.run(10)
 
 
-def check_datagrams(fleet, requests, extra_per_flow=0):
+def check_datagrams(
+    fleet, requests, extra_per_flow=0, per_agent=MAX_DATAGRAMS_PER_AGENT
+):
     """Check the datagrams but for greetings and load reports."""
     count = sum(
         count
@@ -65,7 +69,7 @@
         if name not in ('AgentGreeting', 'LoadReport')
     )
     per_flow = (
-        MAX_DATAGRAMS_PER_AGENT * len(fleet.nodes)
+        per_agent * len(fleet.nodes)
         + MAX_DATAGRAMS_PER_SEARCH
         + extra_per_flow
     )
@@ -130,7 +134,9 @@
     fleet.run(MAX_NOTICE_MS)
     late = [request for request in requests if request.reset_ms is None]
     assert not late
-    check_datagrams(fleet, requests)
+    check_datagrams(
+        fleet, requests, per_agent=MAX_DATAGRAMS_PER_AGENT_IN_BURSTS
+    )
     fleet.run(returned_ms + 1_000 - fleet.clock.monotonic_ms())
     fresh = []
     for _ in range(100):
@@ -147,6 +153,68 @@
     assert not fleet.untrue_resets
 
 
+def test_later_packets_of_a_lost_flow_use_the_answer():
+    """A client that misses the reset sends more packets of the flow."""
+    fleet, requests = make_powered_fleet(18, flows=20)
+    fleet.lose_power(900)
+    lost = [(request.balancer, request.flow) for request in requests]
+    sequences = [request.sequence for request in requests]
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(1_000)
+    resets = sum(b.counters.resets_sent for b in fleet.balancers)
+    searches = sum(b.counters.searches for b in fleet.balancers)
+    for (balancer, flow), sequence in zip(lost, sequences, strict=True):
+        for number in range(3):
+            balancer.on_client_datagram(
+                flow_support.FORMAT.make(
+                    flow,
+                    flags=flow_support.ACKNOWLEDGE,
+                    acknowledged=sequence + 1,
+                    sequence=number,
+                    data=b'x',
+                )
+            )
+    assert sum(b.counters.searches for b in fleet.balancers) == searches
+    assert sum(b.counters.resets_sent for b in fleet.balancers) == (
+        resets + 3 * len(lost)
+    )
+
+
+@pytest.mark.parametrize('share', [1, 2, 3])
+def test_probes_reach_agents_that_do_not_know_batches(share):
+    """A fleet during an update: every agent of the former revision answers.
+
+    Such an agent costs a batch that it ignores, and each probe.
+    """
+    fleet, requests = make_fleet(16, 150, balancers=4, servers=12)
+    for node in fleet.nodes[::share]:
+        node.knows_batches = False
+    restart(fleet, servers=True)
+    fleet.messages.clear()
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(MAX_NOTICE_MS)
+    assert all(request.reset_ms is not None for request in requests)
+    check_datagrams(fleet, requests, per_agent=MAX_DATAGRAMS_PER_AGENT + 1)
+    searches = sum(b.counters.searches for b in fleet.balancers)
+    found = sum(b.counters.flows_found for b in fleet.balancers)
+    assert searches - found <= len(requests)
+
+
+def test_held_flows_are_found_in_bursts_of_searches():
+    """The servers live; some agents know batches and some do not."""
+    fleet, requests = make_fleet(17, 150, balancers=4, servers=12)
+    for node in fleet.nodes[::3]:
+        node.knows_batches = False
+    restart(fleet, servers=False)
+    for request in requests:
+        fleet.send_again(request)
+    fleet.run(2_000)
+    assert not any(request.reset_ms for request in requests)
+    assert all(request.answered_ms is not None for request in requests)
+
+
 def make_powered_fleet(seed, flows=60, **fields):
     """Return a fleet with a store whose history is long enough."""
     values = {'balancers': 3, 'servers': 12, 'has_store': True}
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -125,6 +125,7 @@
         self.path = None
         self.server = None
         self.is_reporting = False
+        self.knows_batches = True
         self.start_server()
         self.start_agent(is_first_start=True)
 
@@ -191,12 +192,17 @@
             send_to_client=fleet.send_to_client,
             send_to_balancer=self._send_to_balancer,
             on_pending=lambda: None,
+            call_later=fleet.after if self.knows_batches else None,
         )
 
     def stop_agent(self):
         self.path = None
 
     def on_balancer_datagram(self, data, source):
+        if not self.knows_batches and isinstance(
+            flow_datagrams.decode(data), flow_datagrams.FlowProbeBatch
+        ):
+            return
         if self.path is not None:
             self.path.on_balancer_datagram(data, source)
 
--- a/tests/wire/test_flow_datagrams.py
+++ b/tests/wire/test_flow_datagrams.py
@@ -81,3 +81,34 @@
         data = msgpack.packb([1, datagram.datagram_code, *values])
         with pytest.raises(errors.WireError):
             flow_datagrams.decode(data)
+
+
+def test_packets_of_a_batch_are_separated():
+    packets = [b'first', b'2', b'third one']
+    batch = flow_datagrams.FlowProbeBatch(
+        [len(data) for data in packets], b''.join(packets)
+    )
+    decoded = flow_datagrams.decode(flow_datagrams.encode(batch))
+    assert decoded == batch
+    assert decoded.packets() == packets
+
+
+@pytest.mark.parametrize(
+    'sizes', [[4], [6], [-1, 6], [0, 5], ['5'], [2.0, 3.0], [True, 4], [[5]]]
+)
+def test_batch_with_wrong_sizes_is_rejected(sizes):
+    batch = flow_datagrams.FlowProbeBatch(sizes, b'12345')
+    decoded = flow_datagrams.decode(flow_datagrams.encode(batch))
+    with pytest.raises(errors.WireError):
+        decoded.packets()
+
+
+def test_malformed_answers_of_a_batch_are_left_out():
+    batch = flow_datagrams.FlowStatusBatch(
+        [[b'flow', 1], ['flow', 1], [b'flow'], 7, [b'flow', True], [b'f', 0]]
+    )
+    decoded = flow_datagrams.decode(flow_datagrams.encode(batch))
+    assert decoded.statuses() == [
+        flow_datagrams.FlowStatus(b'flow', 1),
+        flow_datagrams.FlowStatus(b'f', 0),
+    ]
