--- a/packages/balancer/src/kingcupport/balancer/flow_counters.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_counters.py
@@ -38,8 +38,6 @@
     view_pulls_failed: int = 0
     source_calls: int = 0
     source_calls_failed: int = 0
-    history_reads: int = 0
-    histories_proven: int = 0
     resets_by_reason: collections.Counter = attrs.field(
         factory=collections.Counter, init=False
     )
--- a/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
+++ b/packages/balancer/src/kingcupport/balancer/flow_view_sync.py
@@ -6,7 +6,6 @@
 from gevent import event
 
 from kingcupport.flows import fleet_source
-from kingcupport.flows import history_proof
 from kingcupport.flows import store_revision
 from kingcupport.wire import flow_datagrams
 
@@ -36,11 +35,6 @@
 # The read schedule is checked at least this often, because confirmations from
 # peers postpone the next read.
 SCHEDULE_CHECK_MS = 100
-# Reads of the history in one wait for missing entries. The further ones read
-# what was added, if the first came before enough servers had registered, or
-# begin earlier, if it named more addresses than were listed.
-MAX_HISTORY_READS = 5
-HISTORY_READ_INTERVAL_MS = 100
 
 
 class FlowViewSync:
@@ -95,12 +89,6 @@
         self._peers = {}
         self._greeted_agents_ms = 0.0
         self._agent_interval_ms = GREETING_INTERVAL_MS
-        # The wait for missing entries to which the following belong.
-        self._awaited_entries = 0
-        self._history = None
-        self._history_reads = 0
-        self._history_addresses = 0
-        self._next_history_read_ms = 0.0
         self._read_requested = event.Event()
         self._pull_requested = event.Event()
         self._pull_ip = None
@@ -135,12 +123,10 @@
             Whether the store was called.
         """
         now_ms = self._clock.monotonic_ms()
-        wants_history = self._wants_history(now_ms)
-        if self._schedule.next_read_ms() > now_ms and not wants_history:
+        if self._schedule.next_read_ms() > now_ms:
             return False
         self._schedule.on_start()
-        if self._read(now_ms) and wants_history:
-            self._prove_complete()
+        self._read(now_ms)
         return True
 
     def request_read(self, time_ms):
@@ -162,10 +148,10 @@
         except fleet_source.HistoryLostError as error:
             LOG.info('store lost its history', extra={'error': error})
             self._needs_full_read = True
-            return False
+            return
         except fleet_source.SourceError as error:
             self._on_failure(error)
-            return False
+            return
         self._needs_full_read = False
         self._schedule.on_success()
         if self._was_source_available is not True:
@@ -175,88 +161,6 @@
             )
         self._was_source_available = True
         self._announce_view(to_all=has_changed)
-        return True
-
-    def _wants_history(self, now_ms):
-        """Whether the history may end the wait for missing entries."""
-        confirmation = self._view.confirmation
-        if self._awaited_entries != confirmation.awaited_entries:
-            self._awaited_entries = confirmation.awaited_entries
-            self._history = None
-            self._history_reads = 0
-            self._history_addresses = 0
-            self._next_history_read_ms = 0.0
-        return (
-            confirmation.wants_proof
-            and self._was_source_available is True
-            and self._history_reads < MAX_HISTORY_READS
-            and now_ms >= self._next_history_read_ms
-        )
-
-    def _prove_complete(self):
-        """Read the recent history and decide whether the view is complete."""
-        view = self._view
-        now_ms = self._clock.monotonic_ms()
-        if not self._wants_history(now_ms):
-            return
-        awaited_entries = self._awaited_entries
-        proven_ms = view.confirmation.confirmed_ms
-        revision = view.read_revision
-        servers = list(view.servers.values())
-        self._history_reads += 1
-        self._next_history_read_ms = now_ms + HISTORY_READ_INTERVAL_MS
-        self._counters.history_reads += 1
-        try:
-            self._read_history(revision, servers)
-        except fleet_source.SourceError as error:
-            proof = history_proof.HistoryProof(error.code)
-        else:
-            proof = history_proof.examine(
-                self._history, servers, view.configuration.service_names
-            )
-        self._plan_further_read(proof)
-        LOG.info(
-            'store history read',
-            extra={
-                'proven': proof.is_proven,
-                'reason': proof.reason or None,
-                'revision': store_revision.to_text(revision),
-                'changes': proof.changes,
-                'servers': proof.servers,
-                'addresses': len(proof.ips),
-                'witnesses': proof.witnesses,
-                'restarted': proof.restarted,
-                'took_ms': round(self._clock.monotonic_ms() - now_ms),
-            },
-        )
-        if proof.is_proven and view.era == store_revision.era_of(revision):
-            self._counters.histories_proven += 1
-            view.prove_complete(proven_ms, awaited_entries, proof.ips)
-
-    def _plan_further_read(self, proof):
-        addresses = len(proof.ips)
-        if not proof.is_early:
-            self._history = None
-        if proof.is_short and addresses > self._history_addresses:
-            self._history_addresses = addresses
-        elif not proof.is_early:
-            self._history_reads = MAX_HISTORY_READS
-
-    def _read_history(self, revision, servers):
-        if self._history is None:
-            self._history_addresses = max(
-                self._history_addresses, len({s.ip for s in servers})
-            )
-            self._history = self._source.read_history(
-                history_proof.first_revision(
-                    revision, self._history_addresses
-                ),
-                revision,
-            )
-        elif self._history.revision < revision:
-            self._history.extend(
-                self._source.read_history(self._history.revision, revision)
-            )
 
     def _log_full_read(self, update):
         configuration = update.configuration
--- a/packages/balancer/src/kingcupport/balancer/server_index.py
+++ b/packages/balancer/src/kingcupport/balancer/server_index.py
@@ -32,8 +32,7 @@
         """Return the addresses of all servers that may hold flows.
 
         These include servers that were removed from the view less than the
-        maximum age of a flow ago, or that only the store's history names,
-        because they may still serve their flows.
+        maximum age of a flow ago, because they may still serve their flows.
 
         Returns:
             A frozenset, the same one until a server is added or removed.
@@ -84,10 +83,7 @@
             and not self.is_listed(entry)
         )
 
-    def _on_view_change(self, kind, fields):
-        if kind == 'former_servers_found':
-            self._add_former(fields['ips'])
-            return
+    def _on_view_change(self, _kind, _fields):
         services = self._view.configuration.service_names
         servers = sorted(
             (s for s in self._view.servers.values() if s.service in services),
@@ -107,13 +103,6 @@
             self._removed_ms[ip] = now_ms
         self._update_known_ips()
 
-    def _add_former(self, ips):
-        now_ms = self._clock.monotonic_ms()
-        for ip in ips:
-            if ip not in self.by_ip:
-                self._removed_ms[ip] = now_ms
-        self._update_known_ips()
-
     def _update_known_ips(self):
         known_ips = self.by_ip.keys() | self._removed_ms.keys()
         if known_ips != self._known_ips:
--- a/packages/flows/src/kingcupport/flows/fleet_source.py
+++ b/packages/flows/src/kingcupport/flows/fleet_source.py
@@ -54,38 +54,6 @@
     rejected_evacuations: list = attrs.field(factory=list)
 
 
-@attrs.define
-class FleetHistory:
-    """Changes of the recent past, in no particular order.
-
-    Args:
-        after_revision: Qualified revision after which it has all changes.
-        revision: Qualified revision up to which it has all changes.
-        servers: FlowServer objects, one for each valid write of an entry.
-        removed: Names of the removed servers, each with the qualified
-            revision of its removal.
-        invalid: Names of the entries that are no valid server, each with its
-            qualified revision.
-    """
-
-    after_revision: int
-    revision: int
-    servers: list = attrs.field(factory=list)
-    removed: list = attrs.field(factory=list)
-    invalid: list = attrs.field(factory=list)
-
-    def extend(self, later):
-        """Add the changes that follow.
-
-        Args:
-            later: FleetHistory that begins where this one ends.
-        """
-        self.revision = later.revision
-        self.servers += later.servers
-        self.removed += later.removed
-        self.invalid += later.invalid
-
-
 class FleetSource(abc.ABC):
     """Reads the routes and the backend servers from a store."""
 
@@ -112,23 +80,6 @@
             SourceError: The source did not answer or refused the call.
         """
 
-    def read_history(self, after_revision, revision):
-        """Return a FleetHistory.
-
-        Args:
-            after_revision: Qualified revision after which it has to begin.
-            revision: Qualified revision up to which it has to reach at least.
-
-        Returns:
-            The history, or None if the source keeps none.
-
-        Raises:
-            HistoryLostError: The source no longer has these changes, or has
-                been restored since.
-            SourceError: The source did not answer or refused the call.
-        """
-        del after_revision, revision
-
     @abc.abstractmethod
     def close(self):
         """Close the connection to the source."""
--- a/packages/flows/src/kingcupport/flows/fleet_view.py
+++ b/packages/flows/src/kingcupport/flows/fleet_view.py
@@ -293,30 +293,6 @@
             is_settled=self.settle_due_ms is None,
         )
 
-    def prove_complete(self, proven_ms, awaited_entries, ips):
-        """Record that every server with flows has one of some addresses.
-
-        Args:
-            proven_ms: Time of the confirmation for which this was shown, on
-                the monotonic clock.
-            awaited_entries: ``confirmation.awaited_entries`` at that time.
-            ips: The addresses; some may belong to servers that are not listed.
-        """
-        services = self.configuration.service_names
-        former_ips = set(ips) - {
-            server.ip
-            for server in self.servers.values()
-            if server.service in services
-        }
-        if former_ips:
-            self._notify('former_servers_found', ips=sorted(former_ips))
-        self.confirmation.prove(
-            proven_ms,
-            awaited_entries,
-            is_settled=self.settle_due_ms is None,
-            has_all=not former_ips,
-        )
-
     def _enter_era(self, era):
         if era <= self.era:
             return
--- a/packages/flows/src/kingcupport/flows/view_confirmation.py
+++ b/packages/flows/src/kingcupport/flows/view_confirmation.py
@@ -36,12 +36,8 @@
         self.confirmed_ms = None
         self.complete_ms = None
         self.wanted_ms = None
-        # When the entries that an outage may have removed are back.
-        self._entries_back_ms = 0.0
-        # Until when an invalid entry may hide that of a server.
-        self._rejected_until_ms = 0.0
+        self._complete_from_ms = 0.0
         self._vouch_from_ms = 0.0
-        self._awaited_count = 0
         self._await_missing_entries(clock.monotonic_ms())
 
     @property
@@ -61,25 +57,6 @@
         """
         return self.is_complete and self.confirmed_ms >= self._vouch_from_ms
 
-    @property
-    def _complete_from_ms(self):
-        return max(self._entries_back_ms, self._rejected_until_ms)
-
-    @property
-    def awaited_entries(self):
-        """Number of the wait for missing entries, for ``prove``."""
-        return self._awaited_count
-
-    @property
-    def wants_proof(self):
-        """Whether a decision waits only until missing entries are back."""
-        return (
-            self.wanted_ms is not None
-            and self.confirmed_ms is not None
-            and not self.is_complete_since(self.wanted_ms)
-            and self._clock.monotonic_ms() < self._entries_back_ms
-        )
-
     @property
     def wanted_read_ms(self):
         """When a read can give the requested confirmation, or None."""
@@ -145,39 +122,14 @@
                 are.
         """
         if is_complete:
-            self._entries_back_ms = min(self._entries_back_ms, confirmed_ms)
-            self._rejected_until_ms = min(
-                self._rejected_until_ms, confirmed_ms
-            )
+            self._complete_from_ms = min(self._complete_from_ms, confirmed_ms)
         elif self.confirmed_ms is None or self.is_after_outage(confirmed_ms):
             self._await_missing_entries(confirmed_ms)
         if self.confirmed_ms is not None and confirmed_ms < self.confirmed_ms:
             return
         self.confirmed_ms = confirmed_ms
-        self._update_complete(is_settled)
-
-    def prove(self, proven_ms, awaited_entries, *, is_settled, has_all):
-        """Record that no entry was missing at a confirmation.
-
-        Args:
-            proven_ms: Time of that confirmation, on the monotonic clock.
-            awaited_entries: ``awaited_entries`` at that time; if entries may
-                have expired since, the proof says nothing.
-            is_settled: Whether the view takes the entries of the store as they
-                are.
-            has_all: Whether the view lists the servers of all addresses; only
-                then it can vouch for an equal one.
-        """
-        if awaited_entries != self._awaited_count:
-            return
-        if not has_all:
-            self.on_server_lost()
-        self._entries_back_ms = min(self._entries_back_ms, proven_ms)
-        self._update_complete(is_settled)
-
-    def _update_complete(self, is_settled):
-        if is_settled and self.confirmed_ms >= self._complete_from_ms:
-            self.complete_ms = self.confirmed_ms
+        if is_settled and confirmed_ms >= self._complete_from_ms:
+            self.complete_ms = confirmed_ms
 
     def on_entry_rejected(self, expiry_ms):
         """Record that an invalid entry may hide that of a server.
@@ -186,8 +138,8 @@
             expiry_ms: Time after which the store drops the entry of a silent
                 server.
         """
-        self._rejected_until_ms = max(
-            self._rejected_until_ms, self._clock.monotonic_ms() + expiry_ms
+        self._complete_from_ms = max(
+            self._complete_from_ms, self._clock.monotonic_ms() + expiry_ms
         )
 
     def on_server_lost(self):
@@ -195,8 +147,7 @@
         self._vouch_from_ms = _entries_back_ms(self._clock.monotonic_ms())
 
     def _await_missing_entries(self, now_ms):
-        self._awaited_count += 1
-        self._entries_back_ms = _entries_back_ms(now_ms)
+        self._complete_from_ms = _entries_back_ms(now_ms)
 
 
 def _entries_back_ms(now_ms):
