--- a/tests/balancer/test_flow_admission.py
+++ b/tests/balancer/test_flow_admission.py
@@ -214,8 +214,8 @@
     """Guards against a drain rate of 0 that only lost reports show."""
 
     def lose_reports(fleet):
-        fleet.lost_names.add('LoadReport')
-        fleet.after(5_000, fleet.lost_names.clear)
+        fleet.lost_classes.add('LoadReport')
+        fleet.after(5_000, fleet.lost_classes.clear)
 
     shared, fixed = run_with_and_without(lose_reports)
     assert shared.refused('expected wait too long') == 0
--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -504,9 +504,9 @@
         store: StoreModel, or None.
         seed_ips: Addresses of balancers that each balancer greets.
         messages: Number of datagrams between balancers and agents, by class.
-        lost_names: Classes of datagrams that are lost.
         is_vouched_for: Whether a balancer that starts learns from a peer that
             its view lists every server.
+        lost_classes: Names of the classes of datagrams that are all lost.
         odd_entries: FlowServer objects of another writer.
         requests: SimulatedRequest by flow.
         untrue_resets: SimulatedRequest objects whose open flow was reset while
@@ -533,7 +533,6 @@
         services=None,
         features=frozenset(),
     ):
-        self.lost_names = set()
         self.loss = loss
         self.store = None
         self.seed_ips = ()
@@ -548,6 +547,7 @@
         self.clock = flow_support.make_clock()
         self.rng = random.Random(seed)
         self.messages = collections.Counter()
+        self.lost_classes = set()
         self.requests = {}
         self.untrue_resets = []
         self._events = []
@@ -643,7 +643,7 @@
         """Deliver a datagram between a balancer and an agent, or lose it."""
         name = type(flow_datagrams.decode(data)).__name__
         self.messages[name] += 1
-        if self.rng.random() >= self.loss and name not in self.lost_names:
+        if self.rng.random() >= self.loss and name not in self.lost_classes:
             self.after(ONE_WAY_DELAY_MS, action, data, *arguments)
 
     def is_held(self, request):
