Choose the samples without a packet by their fields in a test

Cause: a third kind of datagram that carries a packet moved the samples that the test of bytes after a datagram selected by position. tests/wire and tests/docs pass.

--- a/tests/balancer/test_cold_openings.py
+++ b/tests/balancer/test_cold_openings.py
@@ -171,7 +171,9 @@
         balancer.clock.advance(MAX_AGE_MS / 20)
         balancer.path.opener.check_waiting()
     assert not balancer.paced()
-    assert dict(balancer.counters.resets_by_reason) == {admission.NO_ROOM.reason: 1}
+    assert dict(balancer.counters.resets_by_reason) == {
+        admission.NO_ROOM.reason: 1
+    }
 
 
 def test_warm_server_takes_the_flows_of_a_paced_one():
--- a/tests/wire/test_flow_datagrams.py
+++ b/tests/wire/test_flow_datagrams.py
@@ -98,7 +98,9 @@
     )
 
 
-@pytest.mark.parametrize('datagram', SAMPLES[2:])
+@pytest.mark.parametrize(
+    'datagram', [d for d in SAMPLES if not hasattr(d, 'packet_data')]
+)
 def test_bytes_after_a_datagram_without_a_packet_are_ignored(datagram):
     """Guards against rejecting what earlier releases accept."""
     data = flow_datagrams.encode(datagram) + b'rest'
