--- a/tests/flow_fleet_simulation.py
+++ b/tests/flow_fleet_simulation.py
@@ -190,6 +190,15 @@
             self.entry.name,
         )
 
+    def delay_report(self, delay_ms):
+        """Let the server write next after a delay."""
+        self.is_reporting = False
+        self._fleet.after(delay_ms, self.resume_reporting)
+
+    def resume_reporting(self):
+        self.is_reporting = True
+        self._report(self.entry.name)
+
     def _report(self, name):
         if self.is_reporting and self.entry.name == name:
             self.entry = attrs.evolve(
