Name the remaining cold time in the project's own words

Cause: a field of PacedEnvelope and its users had the platform's name for it outside platform/. The datagram is unchanged, as fields have no names on the wire. 184 tests of the agent's data path, wire, cold limits and docs pass.

--- a/packages/agent/src/kingcupport/agent/flow_data_path.py
+++ b/packages/agent/src/kingcupport/agent/flow_data_path.py
@@ -272,7 +272,9 @@
             return
         previous = self.cold_limit.limit
         if (
-            self.cold_limit.set(envelope.openings_per_s, envelope.cold_left_ms)
+            self.cold_limit.set(
+                envelope.openings_per_s, envelope.remaining_cold_ms
+            )
             and self.cold_limit.limit != previous
         ):
             self._decisions.write(
@@ -280,7 +282,7 @@
                 {
                     'limit': self.cold_limit.limit,
                     'previous_limit': previous,
-                    'cold_left_ms': envelope.cold_left_ms,
+                    'remaining_cold_ms': envelope.remaining_cold_ms,
                 },
             )
 
--- a/packages/flows/src/kingcupport/flows/cold_limit.py
+++ b/packages/flows/src/kingcupport/flows/cold_limit.py
@@ -48,25 +48,28 @@
             self._ends_ms = None
         return None if self._ends_ms is None else self._limit
 
-    def set(self, openings_per_s, cold_left_ms):
+    def set(self, openings_per_s, remaining_cold_ms):
         """Put a limit into force; one that ends later keeps its end.
 
         Args:
             openings_per_s: Opening packets a second that the server can take;
                 ignored unless it is a positive number up to
                 ``MAX_OPENINGS_PER_S``.
-            cold_left_ms: How long the server is still cold.
+            remaining_cold_ms: How long the server is still cold.
 
         Returns:
             Whether the limit was put into force.
         """
-        if not 0 < openings_per_s <= MAX_OPENINGS_PER_S or cold_left_ms <= 0:
+        if (
+            not 0 < openings_per_s <= MAX_OPENINGS_PER_S
+            or remaining_cold_ms <= 0
+        ):
             return False
         bound = math.floor(openings_per_s * self._excess + self._slack)
         self._limit = min(math.ceil(openings_per_s), bound, MAX_KEPT_OPENINGS)
         self._ends_ms = max(
             self._ends_ms or 0.0,
-            self._clock.monotonic_ms() + min(cold_left_ms, MAX_COLD_MS),
+            self._clock.monotonic_ms() + min(remaining_cold_ms, MAX_COLD_MS),
         )
         return True
 
--- a/packages/flows/src/kingcupport/flows/cold_servers.py
+++ b/packages/flows/src/kingcupport/flows/cold_servers.py
@@ -6,7 +6,7 @@
 # a warm server down: a balancer that started late does not know how long a
 # server has been cold. A shorter one could end before a balancer with an older
 # view, which takes the server as warm, has the current one.
-MAX_COLD_LEFT_MS = 3_000
+MAX_REMAINING_COLD_MS = 3_000
 # A view that was confirmed within this time has the server's own word.
 MAX_VIEW_AGE_MS = 2_500
 # A server that has declined an opening packet is tried again after the mean
@@ -43,7 +43,7 @@
             ip: Address of the server's instance.
 
         Returns:
-            ``(openings_per_s, cold_left_ms)``, or None if the server has no
+            ``(openings_per_s, remaining_cold_ms)``, or None if it has no
             limit.
         """
         limits = self._view.configuration.cold_limits
@@ -65,8 +65,8 @@
         has_old_view = age_ms is None or age_ms > MAX_VIEW_AGE_MS
         if has_old_view and 0 < cold_ms <= now_ms - first_ms:
             return None
-        return openings_per_s, min(cold_ms, MAX_COLD_LEFT_MS) or (
-            MAX_COLD_LEFT_MS
+        return openings_per_s, min(cold_ms, MAX_REMAINING_COLD_MS) or (
+            MAX_REMAINING_COLD_MS
         )
 
     def pause_ms(self, service):
--- a/packages/wire/src/kingcupport/wire/flow_datagrams.py
+++ b/packages/wire/src/kingcupport/wire/flow_datagrams.py
@@ -279,14 +279,14 @@
         service: Name of the service that the packet is addressed to.
         slot_limit: As in FlowEnvelope.
         openings_per_s: Opening packets a second that the server can take.
-        cold_left_ms: How long the server is still cold.
+        remaining_cold_ms: How long the server is still cold.
         packet_data: Bytes of the packet.
     """
 
     service: str
     slot_limit: int
     openings_per_s: float
-    cold_left_ms: int
+    remaining_cold_ms: int
     packet_data: bytes = b''
 
 
--- a/tests/balancer/test_cold_openings.py
+++ b/tests/balancer/test_cold_openings.py
@@ -58,20 +58,20 @@
         balancer.client(FLOW, flow_support.OPEN, acknowledged=acknowledged)
         ((envelope, _),) = balancer.paced()
         assert envelope.openings_per_s == 4.0
-        assert envelope.cold_left_ms == cold_servers.MAX_COLD_LEFT_MS
+        assert envelope.remaining_cold_ms == cold_servers.MAX_REMAINING_COLD_MS
         # The slot limit applies to the first copy only.
         assert envelope.slot_limit == (0 if acknowledged else 1)
 
 
 @pytest.mark.parametrize(
     ('cold_ms', 'left_ms'),
-    [(0, cold_servers.MAX_COLD_LEFT_MS), (400, 400)],
+    [(0, cold_servers.MAX_REMAINING_COLD_MS), (400, 400)],
 )
 def test_short_or_missing_cold_time_bounds_the_limit(cold_ms, left_ms):
     balancer = Harness(limits={'gate': (4.0, cold_ms)})
     balancer.client(FLOW, flow_support.OPEN)
     ((envelope, _),) = balancer.paced()
-    assert envelope.cold_left_ms == left_ms
+    assert envelope.remaining_cold_ms == left_ms
 
 
 def test_server_that_says_that_it_is_cold_keeps_its_limit(balancer):
