--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,6 @@
 # The dose of the site: a change each 60 ms for 1.5 s.
 STORM_S = 1.5
 STORM_GAP_S = 0.06
-DROPPED = ('198.18.0.2', 443)
 
 
 def route(name, ip, port):
@@ -40,14 +39,23 @@
     }
 
 
+def dropped_route(world):
+    """Return the address of the route that the last version drops."""
+    return (f'{world.network}.9.2', 443)
+
+
 def put(world, version, *, has_dropped, timeout_ms=1000):
     """Write a version; a storm's changes are those of a time-out."""
     routes = [route('main', *world.service_address)]
     if has_dropped:
-        routes.append(route('dropped', *DROPPED))
+        routes.append(route('dropped', *dropped_route(world)))
     routes += [
         {
-            **route(f'idle-{n}', f'198.19.{n // 250}.{n % 250 + 1}', 443),
+            **route(
+                f'idle-{n}',
+                f'{world.network}.{100 + n // 250}.{n % 250 + 1}',
+                443,
+            ),
             'timeout_ms': timeout_ms,
         }
         for n in range(IDLE_ROUTES)
@@ -102,7 +110,7 @@
         number += 1
         for service, kind in (
             (world.service_address, 'main'),
-            (DROPPED, 'dropped'),
+            (dropped_route(world), 'dropped'),
         ):
             tasks.append(
                 asyncio.create_task(
@@ -117,7 +125,7 @@
         f'{sent[end] - dropped_s:.2f} s after the confirmation'
         for host in world.hosts.values()
         for end, _, _, _ in host.opened
-        if end in world.ends_of(DROPPED) and sent[end] > limit_s
+        if end in world.ends_of(dropped_route(world)) and sent[end] > limit_s
     ]
 
 
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -800,7 +800,8 @@
         self.clients = None
         self.hosts = {}
         self.programs = {}
-        self.service_address = ('198.18.0.1', 443)
+        # Routes are addresses in packets only; nothing listens there.
+        self.service_address = (f'{self.network}.9.1', 443)
         # Link of each front to the store; None for no limit.
         self.link_mbps = None
         self._links = []
